--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1371,13 +1371,13 @@
 	}
 }
 
-// Whoever is on call looks lines up on the page; each must stand there as printed.
-func TestLogLinesAreOnTheOnCallPage(t *testing.T) {
+// Whoever is on call looks lines up in the README; each must stand there as printed.
+func TestLogLinesAreInTheREADME(t *testing.T) {
 	code, err := os.ReadFile("balancer.go")
 	if err != nil {
 		t.Fatal(err)
 	}
-	page, err := os.ReadFile("docs/on-call.md")
+	page, err := os.ReadFile("README.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -1394,7 +1394,7 @@
 	for _, l := range lines {
 		l = strings.NewReplacer("%d of %d", "N of M", "%d", "N", "%x", "X").Replace(l)
 		if !strings.Contains(string(page), l) {
-			t.Errorf("the on-call page lacks %q", l)
+			t.Errorf("README.md lacks %q", l)
 		}
 	}
 }
