Reject requests whose framing is ambiguous

The raw bytes have both Content-Length and Transfer-Encoding: chunked, the body is "0 CRLF CRLF" and then a whole request. By Content-Length that request is body; net/http goes by the chunks, removes Content-Length from the header, and reads the rest as the next request.

Ruled out: GET or POST with a plain body (read whole and passed on with its length), bodies past the limit and those that break off (net/http closes behind them), header lines with odd spacing (net/http answers 400).

At fault: Server.serve, which took net/http's word for where a request ends. Since net/http hides the conflict from the handler, framedConn notes the framing headers as they come in. A request with both, and one of HTTP/1.0 with Transfer-Encoding (which net/http drops unread: the same hole), gets 400 and the connection is closed. Sibling: a health check with such a body. Chunked bodies by themselves are served as before.

What is rejected is now logged with the request's id, ten lines a second at most.

--- /dev/null
+++ b/internal/gateway/framing_test.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// talk sends text to the gateway, cut into parts at each |, and returns the statuses of
+// what it answers until it closes the connection.
+func (g *testGateway) talk(text string) (statuses []int) {
+	g.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
+	if err != nil {
+		g.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	for part := range strings.SplitSeq(text, "|") {
+		if _, err := io.WriteString(c, part); err != nil {
+			break // closed ahead of the rest
+		}
+	}
+	in := bufio.NewReader(c)
+	for {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return statuses
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			g.Errorf("the answer broke off: %v", err)
+		}
+		statuses = append(statuses, resp.StatusCode)
+		if resp.Close {
+			if n, err := in.Read(make([]byte, 1)); n > 0 || err == nil {
+				g.Error("more came after an answer that was to be the last")
+			}
+			return statuses
+		}
+	}
+}
+
+const chunked = "Transfer-Encoding: chunked\r\n"
+
+func head(line, id, more string) string {
+	return line + "\r\nHost: service.internal\r\nX-Request-ID: " + id +
+		"\r\nX-Priority-Class: book\r\nX-Timeout: 30\r\n" + more + "\r\n"
+}
+
+// What stands in the body of a request must not be taken for a request of its own,
+// however the sender and the gateway may differ on where the body ends.
+func TestNothingInsideABodyReachesAHost(t *testing.T) {
+	inner := head("POST /api/inner HTTP/1.1", "inner", "Connection: close\r\nContent-Length: 0\r\n")
+	length := func(body string) string { return fmt.Sprintf("Content-Length: %d\r\n", len(body)) }
+	hidden := "0\r\n\r\n" + inner
+	for _, tt := range []struct{ name, text string }{
+		{"both lengths", head("POST /api HTTP/1.1", "outer", length(hidden)+chunked) + hidden},
+		{"the other way round", head("POST /api HTTP/1.1", "outer", chunked+length(hidden)) + hidden},
+		{"in odd case", head("POST /api HTTP/1.1", "outer", "cOnTent-LENGTH: 9\r\ntransfer-encoding: Chunked\r\n") + hidden},
+		{"in parts", head("POST /api HTTP/1.1", "outer", "Content-|Length: 90\r|\nTransfer|-Encoding: chunked\r\n") + hidden},
+		{"after a long line", head("POST /api HTTP/1.1", "outer", "X-Long: "+strings.Repeat("x", 9000)+"\r\n"+length(hidden)+chunked) + hidden},
+		{"a health check", head("GET /_health HTTP/1.1", "outer", length(hidden)+chunked) + hidden},
+		{"HTTP/1.0", head("POST /api HTTP/1.0", "outer", "Connection: keep-alive\r\n"+chunked) + inner},
+		{"HTTP/1.0 and both", head("POST /api HTTP/1.0", "outer", "Connection: keep-alive\r\nContent-Length: 5\r\n"+chunked) + hidden},
+	} {
+		server := newHost(t, says(good))
+		g := startGateway(t, testConfig(server))
+		g.T = t
+		if got := g.talk(tt.text); len(got) != 1 || got[0] != http.StatusBadRequest {
+			t.Errorf("%s: answers %v, want a single 400", tt.name, got)
+		}
+		if requests, _, _ := server.counts(); requests != 0 {
+			t.Errorf("%s: the host got %d requests", tt.name, requests)
+		}
+	}
+}
+
+// Chunked bodies by themselves are in order, on a connection that is used again too.
+func TestChunkedBodyIsServed(t *testing.T) {
+	server := newHost(t, says(good))
+	g := startGateway(t, testConfig(server))
+	c, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for i, framing := range []string{chunked, "Content-Length: 4\r\n", chunked} {
+		body := "4\r\nbody\r\n0\r\n\r\n"
+		if framing != chunked {
+			body = "body"
+		}
+		io.WriteString(c, head("POST /api HTTP/1.1", "id", framing)+body)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if text, _ := io.ReadAll(resp.Body); resp.StatusCode != 200 || string(text) != "good" {
+			t.Errorf("answer %d: %d %q", i, resp.StatusCode, text)
+		}
+	}
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	for _, body := range server.bodies {
+		if body != "body" {
+			t.Errorf("the host got the body %q", body)
+		}
+	}
+}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -25,6 +25,7 @@
 	idleShare  = 0.5      // of the hosts' idle limit that we keep a connection: its end must not cross a request
 	sweepEvery = time.Second
 
+	headRequestID    = "X-Request-ID"
 	headTimeout      = "X-Timeout"
 	headNotProcessed = "X-Not-Processed" // "1" proves that the attempt never ran
 )
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -100,6 +100,8 @@
 	longest time.Duration // deadline of any class
 	budget  int           // client connections beyond which idle ones are closed
 
+	rejects limitedLog
+
 	stopping atomic.Bool
 	exitAt   time.Time // set before stopping: all answers are due by then
 
@@ -124,6 +126,7 @@
 	s.http = http.Server{
 		Handler:           http.HandlerFunc(s.serve), // no ServeMux: it would clean paths and redirect
 		ConnState:         s.track,
+		ConnContext:       withFraming,
 		ReadHeaderTimeout: headerTimeout,
 		WriteTimeout:      s.longest + writeTimeout,
 		IdleTimeout:       idleTimeout,
@@ -136,7 +139,7 @@
 
 // Serve takes requests from ln until Stop has closed it.
 func (s *Server) Serve(ln net.Listener) error {
-	if err := s.http.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(framedListener{ln}); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -181,6 +184,9 @@
 func (s *Server) track(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if f, ok := c.(*framedConn); ok && state == http.StateIdle {
+		f.next()
+	}
 	if state == http.StateClosed || state == http.StateHijacked {
 		delete(s.conns, c)
 		return
@@ -207,13 +213,19 @@
 	if s.stopping.Load() || s.crowded() {
 		w.Header().Set("Connection", "close")
 	}
+	if ambiguous(r) {
+		// What follows on the connection may belong to its body.
+		w.Header().Set("Connection", "close")
+		s.reject(w, r, http.StatusBadRequest, errAmbiguous)
+		return
+	}
 	if r.Method == http.MethodGet && r.URL.Path == pathHealth {
 		s.health(w)
 		return
 	}
 	x, status, err := s.read(w, r, came)
 	if err != nil {
-		http.Error(w, err.Error(), status)
+		s.reject(w, r, status, err)
 		return
 	}
 	s.loop.Submit(x)
@@ -239,6 +251,16 @@
 	write(w, a)
 }
 
+var errAmbiguous = errors.New("it is not clear where the request ends")
+
+// reject answers what is no proper request, and logs some of it: those on call must be
+// able to tell a client that went wrong.
+func (s *Server) reject(w http.ResponseWriter, r *http.Request, status int, err error) {
+	s.rejects.warn("request rejected", "id", r.Header.Get(headRequestID), "peer", r.RemoteAddr,
+		"status", status, "err", err)
+	http.Error(w, err.Error(), status)
+}
+
 // health tells the front whether requests can be served.
 func (s *Server) health(w http.ResponseWriter) {
 	switch {
