Drop a request read from a connection that was closed as idle

Evidence: the attempts of each id showed no repeat inside a gateway after a result that may have run. At that moment one connection of 212 was idle, for 30 us: with the budget filled, each answer made its own connection the one to be closed, just as the client sent its next request on it. The client rightly sends such a request once more on a new connection; the gateway passed on both.

At fault: Server.track closes a connection that is idle by its own map while net/http has read a request from it already; Server.serve passed that on. framedConn now marks the close first. Both the choice of an idle connection and the step to "active" happen under Server.mu, so a handler sees either no close at all or one that came before it, and drops the request. Sibling: http.Server.Shutdown closes idle connections at SIGTERM without that lock, so Stop does it itself before.

Other answers now log nothing new but "request crossed the close of its connection", within the limit for rejected requests.

What fills the budget is a cause of its own.

--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 )
 
 // net/http lets Transfer-Encoding override Content-Length and then removes the latter,
@@ -28,6 +29,7 @@
 // framedConn notes which framing headers the head of the present request has.
 type framedConn struct {
 	net.Conn
+	closed atomic.Bool // by us, whatever may have been read from it
 
 	mu       sync.Mutex // net/http reads ahead while the handler runs
 	line     []byte     // start of the header line that is coming in
@@ -61,6 +63,14 @@
 	return n, err
 }
 
+// Close marks the connection closed. One that is closed as idle may bring a request at
+// that moment; the mark tells the handler, which must not let both it and the one that
+// the client then sends in its place go on.
+func (c *framedConn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
 // next says that the present request is over.
 func (c *framedConn) next() {
 	c.mu.Lock()
@@ -93,3 +103,9 @@
 	}
 	return false
 }
+
+// closed says whether the connection of a request was closed before its handler began.
+func closed(r *http.Request) bool {
+	c, ok := r.Context().Value(framedKey{}).(*framedConn)
+	return ok && c.closed.Load()
+}
--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -6,9 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
+
+	"lynxspool"
 )
 
 // talk sends text to the gateway, cut into parts at each |, and returns the statuses of
@@ -112,3 +116,116 @@
 		}
 	}
 }
+
+// crossingConn brings a request, and another at the moment when it is closed.
+type crossingConn struct {
+	net.Conn
+	first, second string
+	overdue       chan struct{} // the deadline for reading has passed
+	closing       chan struct{} // closed with the first Close
+	ended         chan struct{} // closed with the second Close, which ends service
+	mu            sync.Mutex
+	closes        int
+}
+
+func (c *crossingConn) Read(p []byte) (n int, err error) {
+	if c.first == "" {
+		select {
+		case <-c.overdue:
+			return 0, os.ErrDeadlineExceeded
+		case <-c.closing:
+			c.first, c.second = c.second, ""
+		}
+	}
+	if n = copy(p, c.first); n == 0 {
+		return 0, io.EOF
+	}
+	c.first = c.first[n:]
+	return n, nil
+}
+
+// SetReadDeadline makes a Read that waits return where net/http breaks it off.
+func (c *crossingConn) SetReadDeadline(t time.Time) error {
+	select {
+	case <-c.overdue:
+	default:
+	}
+	if !t.IsZero() && t.Before(time.Now()) {
+		c.overdue <- struct{}{}
+	}
+	return nil
+}
+
+func (c *crossingConn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch c.closes++; c.closes {
+	case 1:
+		close(c.closing)
+	case 2:
+		close(c.ended)
+	}
+	return c.Conn.Close()
+}
+
+type oneConn struct {
+	net.Listener
+	conn chan net.Conn
+}
+
+func (l oneConn) Accept() (net.Conn, error) {
+	if c, ok := <-l.conn; ok {
+		return c, nil
+	}
+	return l.Listener.Accept()
+}
+
+// A client sends a request again that crossed the closing of its idle connection. So
+// what was read of it then must not go on too, whichever way the connection is closed.
+func TestRequestThatCrossesACloseGoesNowhere(t *testing.T) {
+	for name, closeIdle := range map[string]func(*testGateway){
+		"crowded": func(g *testGateway) {
+			c, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
+			if err != nil {
+				g.Fatal(err)
+			}
+			g.Cleanup(func() { c.Close() })
+		},
+		"stopping": func(g *testGateway) { g.server.closeIdle() },
+	} {
+		host := newHost(t, says(good))
+		g := startGateway(t, testConfig(host))
+		near, far := net.Pipe()
+		go io.Copy(io.Discard, far)
+		c := &crossingConn{
+			Conn: near, overdue: make(chan struct{}, 1), closing: make(chan struct{}), ended: make(chan struct{}),
+			first:  head("POST /api/first HTTP/1.1", "first", "Content-Length: 0\r\n"),
+			second: head("POST /api/second HTTP/1.1", "second", "Content-Length: 0\r\n"),
+		}
+		g.server.mu.Lock()
+		g.server.budget = 1
+		g.server.mu.Unlock()
+		l := oneConn{listen(t, "127.0.0.1:0", nil), make(chan net.Conn, 1)}
+		g.url = "http://" + l.Addr().String()
+		l.conn <- c
+		close(l.conn)
+		go g.server.Serve(l)
+		until(t, "the connection is idle", func() bool {
+			g.server.mu.Lock()
+			defer g.server.mu.Unlock()
+			for _, cs := range g.server.conns {
+				if cs.state == http.StateIdle {
+					return true
+				}
+			}
+			return false
+		})
+		closeIdle(g)
+		<-c.ended
+		taken := make(chan lynxspool.RequestID)
+		g.loop.post(func(lynxspool.Time) { taken <- g.loop.lastID })
+		if n := <-taken; n != 1 {
+			t.Errorf("%s: %d requests were taken, want the first alone", name, n)
+		}
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -152,6 +152,7 @@
 	s.exitAt = now.Add(exitTime + min(s.longest, exitDeadline) - stopMargin)
 	s.stopping.Store(true)
 	time.Sleep(lingerTime)
+	s.closeIdle()
 	ctx, cancel := context.WithDeadline(context.Background(), s.exitAt)
 	defer cancel()
 	go s.http.Shutdown(ctx) // it looks for the last connection too seldom to be waited for
@@ -171,6 +172,19 @@
 	return false
 }
 
+// closeIdle closes the connections that hold no request. Shutdown would do it as well,
+// but without s.mu, under which a connection is either idle or its request goes on.
+func (s *Server) closeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, cs := range s.conns {
+		if cs.state == http.StateIdle {
+			delete(s.conns, c)
+			c.Close()
+		}
+	}
+}
+
 // crowded says whether there are more connections than the budget even with no idle
 // one left; they are then closed behind their answers.
 func (s *Server) crowded() bool {
@@ -210,6 +224,12 @@
 // serve answers one request.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
+	if closed(r) {
+		// It crossed our closing the connection as idle: its client sends it again.
+		s.rejects.warn("request crossed the close of its connection", "id", r.Header.Get(headRequestID),
+			"peer", r.RemoteAddr)
+		return
+	}
 	if s.stopping.Load() || s.crowded() {
 		w.Header().Set("Connection", "close")
 	}
