Close peers that bring no whole request within 2.8 s

Evidence: by 7.5 s 122 of the 212 connections of the budget were new, 108 of them for over half a second without a request; by 10.7 s 195 were. They stay for the 10 s of headerTimeout. What is left of the budget is closed behind every answer, so that each client connects anew for each request.

At fault: headerTimeout in Server, 10 s where such a peer is owed a close within 3 s of connecting. A body had up to the client's own time-out, and a body that the handler never reads, as of an unknown class, had for ever: net/http reads it before it answers, and no deadline stood. ReadTimeout, which runs from the same start and covers both, takes the place of the deadline set by hand.

Ruled out: descriptors running out (272 of 384 at most), the collector (memory 15 of 64 MB).

--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -229,3 +229,54 @@
 		}
 	}
 }
+
+// patientConn notes how long the server means to wait for the next byte, 0 for ever.
+type patientConn struct {
+	net.Conn
+	mu   sync.Mutex
+	wait time.Duration
+	set  int
+}
+
+func (c *patientConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wait, c.set = 0, c.set+1
+	if !t.IsZero() {
+		c.wait = time.Until(t)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *patientConn) waits() (wait time.Duration, set int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.wait, c.set
+}
+
+// Whoever sends nothing, or a part of a request, is closed or answered within 3 s of
+// connecting, the handler reading the request or not.
+func TestNoPeerIsWaitedForLong(t *testing.T) {
+	const owed = 3 * time.Second
+	for name, class := range map[string]string{"in order": "book", "unknown": "other"} {
+		g := startGateway(t, testConfig(newHost(t, says(good))))
+		near, far := net.Pipe()
+		c := &patientConn{Conn: near}
+		l := oneConn{listen(t, "127.0.0.1:0", nil), make(chan net.Conn, 1)}
+		l.conn <- c
+		close(l.conn)
+		go g.server.Serve(l)
+		until(t, "the head is waited for", func() bool { _, set := c.waits(); return set > 0 })
+		wait, before := c.waits()
+		if wait == 0 || wait >= owed {
+			t.Errorf("class %s: the server waits %v for a head", name, wait)
+		}
+		part := strings.Replace(head("POST /api HTTP/1.1", "id", "Content-Length: 9\r\n"), "book", class, 1) + "part"
+		io.WriteString(far, part)
+		until(t, "the body is waited for", func() bool { _, set := c.waits(); return set > before })
+		if wait, _ := c.waits(); wait == 0 || wait >= owed {
+			t.Errorf("class %s: the server waits %v for a body", name, wait)
+		}
+		far.Close()
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -40,9 +40,13 @@
 	exitDeadline = 3 * time.Second
 	stopMargin   = 100 * time.Millisecond
 
-	headerTimeout = 10 * time.Second // for a client to get a request's head through
-	writeTimeout  = 10 * time.Second // for a client to take its answer
-	idleTimeout   = 3 * time.Minute  // for a client's connection with no request
+	// Who sends no proper request is owed an answer or a close within 3 s of connecting,
+	// and holds a descriptor until then. A connection is owed 2 s to bring a request.
+	headerTimeout  = 2 * time.Second         // for a client to get a request's head through
+	requestTimeout = 2800 * time.Millisecond // ... all of it, the handler wanting it or not
+
+	writeTimeout = 10 * time.Second // for a client to take its answer
+	idleTimeout  = 3 * time.Minute  // for a client's connection with no request
 )
 
 // exchange is one request of a client and its one final answer. The handler creates
@@ -128,6 +132,7 @@
 		ConnState:         s.track,
 		ConnContext:       withFraming,
 		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       requestTimeout,
 		WriteTimeout:      s.longest + writeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHead, // a connection's share of the memory limit
@@ -331,9 +336,6 @@
 		x.deadline = s.exitAt
 	}
 	if r.ContentLength != 0 {
-		// One that is not here when the client stops waiting is of no use.
-		rc := http.NewResponseController(w)
-		rc.SetReadDeadline(came.Add(max(left, time.Second)))
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 		var tooLong *http.MaxBytesError
 		if errors.As(err, &tooLong) {
@@ -341,7 +343,6 @@
 		} else if err != nil {
 			return bad("the body did not arrive")
 		}
-		rc.SetReadDeadline(time.Time{})
 		x.body = body
 	}
 	return x, 0, nil
