Follow discovery to its new address on SIGHUP

At fault: run asked for SIGTERM and SIGINT alone, so SIGHUP had its default effect, and Discovery held the address it began with.

Now the file is read anew and the watch begins again at the new address, for the whole list, as another discovery may number its versions anew. The old watch ends there and then, as it may fall silent. GW_DISCOVERY goes before the file at the start only. A file that cannot be read changes nothing.

The test runs the program: without the change SIGHUP ends it.

--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -34,7 +34,8 @@
 	}
 }
 
-// run serves until SIGTERM or SIGINT, and then ends in order.
+// run serves until SIGTERM or SIGINT, and then ends in order. SIGHUP makes it read the
+// configuration file anew.
 func run(cfg *gateway.Config) error {
 	if cfg.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
@@ -44,6 +45,8 @@
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	reloads := make(chan os.Signal, 1) // its own, so that neither kind crowds out the other
+	signal.Notify(reloads, syscall.SIGHUP)
 
 	pool := gateway.NewPool(cfg)
 	discovery := gateway.NewDiscovery(cfg)
@@ -65,13 +68,29 @@
 	broken := make(chan error, 1)
 	go func() { broken <- server.Serve(ln) }()
 	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
-	select {
-	case err := <-broken:
-		return fmt.Errorf("listen: %w", err)
-	case s := <-signals:
-		slog.Info("stopping", "signal", s.String())
+	for {
+		select {
+		case err := <-broken:
+			return fmt.Errorf("listen: %w", err)
+		case <-reloads:
+			reload(discovery)
+		case s := <-signals:
+			slog.Info("stopping", "signal", s.String())
+			server.Stop()
+			slog.Info("stopped")
+			return nil
+		}
+	}
+}
+
+// reload follows discovery to where the configuration file now says it is. A file that
+// cannot be read changes nothing: better an old address than none.
+func reload(discovery *gateway.Discovery) {
+	addr, err := gateway.LoadDiscovery(os.Getenv)
+	if err != nil {
+		slog.Error("configuration not read anew", "err", err)
+		return
 	}
-	server.Stop()
-	slog.Info("stopped")
-	return nil
+	slog.Info("configuration read anew", "discovery", addr)
+	discovery.Move(addr)
 }
--- a/cmd/dunemoor/main_test.go
+++ b/cmd/dunemoor/main_test.go
@@ -254,6 +254,97 @@
 	}
 }
 
+// After SIGHUP the program follows discovery to the address that the file now gives, and
+// hears there what the old one never said.
+func TestReloadFollowsDiscovery(t *testing.T) {
+	old, moved := newDiscovery(t), newDiscovery(t)
+	hosts := make([]*httptest.Server, 2)
+	asked := make([]atomic.Int64, 2)
+	for i := range hosts {
+		hosts[i] = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			asked[i].Add(1)
+			io.WriteString(w, "done")
+		}))
+		defer hosts[i].Close()
+	}
+	text := strings.Replace(config(strings.TrimPrefix(hosts[0].URL, "http://")), "127.0.0.1:1", old.addr(), 1)
+	t.Setenv("GW_DISCOVERY", old.addr()) // it tells where discovery was at the start only
+	p := start(t, text, freeAddr(t))
+	p.ready(t)
+	<-old.watched
+	path := strings.TrimPrefix(p.Env[len(p.Env)-2], "GW_CONFIG=")
+	for _, text := range []string{"{", strings.Replace(text, old.addr(), moved.addr(), 1)} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := p.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		if text == "{" {
+			if _, err := ask(p.url); err != nil { // it goes on with what it has
+				t.Fatal(err)
+			}
+		}
+	}
+	select {
+	case <-moved.watched:
+	case <-p.exited:
+		t.Fatalf("SIGHUP ended the program: %s", p.out.String())
+	case <-time.After(patience):
+		t.Fatal("discovery is not watched at its new address")
+	}
+	select {
+	case <-old.left:
+	case <-time.After(patience):
+		t.Error("the old address is still watched")
+	}
+	moved.lines <- fmt.Sprintf(`{"version":9,"full":true,"servers":[{"id":"s-1","addr":%q,"state":"ready"}]}`,
+		strings.TrimPrefix(hosts[1].URL, "http://"))
+	for end := time.Now().Add(patience); asked[1].Load() == 0; time.Sleep(5 * time.Millisecond) {
+		if _, err := ask(p.url); err != nil {
+			t.Fatal(err)
+		}
+		if time.Now().After(end) {
+			t.Fatal("the new list is not used")
+		}
+	}
+	if got := moved.index.Load(); got != "0" {
+		t.Errorf("the new address was asked for changes since %v, want the whole list", got)
+	}
+}
+
+// discovery sends a line to its watch for each one on lines.
+type discovery struct {
+	*httptest.Server
+	lines         chan string
+	watched, left chan struct{}
+	index         atomic.Value
+}
+
+func newDiscovery(t *testing.T) *discovery {
+	d := &discovery{lines: make(chan string), watched: make(chan struct{}, 100), left: make(chan struct{}, 100)}
+	d.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.index.Store(r.FormValue("index"))
+		w.(http.Flusher).Flush()
+		d.watched <- struct{}{}
+		for {
+			select {
+			case line := <-d.lines:
+				fmt.Fprintln(w, line)
+				w.(http.Flusher).Flush()
+			case <-r.Context().Done():
+				d.left <- struct{}{}
+				return
+			}
+		}
+	}))
+	t.Cleanup(d.Close)
+	t.Cleanup(d.CloseClientConnections)
+	return d
+}
+
+func (d *discovery) addr() string { return strings.TrimPrefix(d.URL, "http://") }
+
 // Bad configuration ends the program with one line that names the field, and 1.
 func TestBadConfiguration(t *testing.T) {
 	p := start(t, strings.Replace(config(), `"hard_limit":2000000`, `"hard_limit":0`, 1), "127.0.0.1:0")
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -79,17 +79,9 @@
 // GW_ variables go before what the file says. An error is one plain line that
 // names the field at fault.
 func Load(getenv func(string) string) (*Config, error) {
-	path := getenv("GW_CONFIG")
-	if path == "" {
-		return nil, errors.New("GW_CONFIG: not set")
-	}
-	text, err := os.ReadFile(path)
+	f, err := readFile(getenv)
 	if err != nil {
-		return nil, fmt.Errorf("GW_CONFIG: %w", err)
-	}
-	var f file
-	if err := json.Unmarshal(text, &f); err != nil {
-		return nil, fmt.Errorf("GW_CONFIG: %s: %w", path, err)
+		return nil, err
 	}
 	for _, v := range []struct {
 		name string
@@ -102,14 +94,47 @@
 	return f.config()
 }
 
+// LoadDiscovery reads anew where discovery is. GW_DISCOVERY tells only where it was at
+// the start, so here the file alone counts.
+func LoadDiscovery(getenv func(string) string) (string, error) {
+	f, err := readFile(getenv)
+	if err != nil {
+		return "", err
+	}
+	return f.Discovery, checkAddr("discovery", f.Discovery)
+}
+
+func readFile(getenv func(string) string) (*file, error) {
+	path := getenv("GW_CONFIG")
+	if path == "" {
+		return nil, errors.New("GW_CONFIG: not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	f := new(file)
+	if err := json.Unmarshal(text, f); err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %s: %w", path, err)
+	}
+	return f, nil
+}
+
+func checkAddr(field, addr string) error {
+	if _, _, err := net.SplitHostPort(addr); err != nil {
+		return fmt.Errorf("%s: %q is no host:port", field, addr)
+	}
+	return nil
+}
+
 func (f *file) config() (*Config, error) {
 	c := &Config{
 		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
 		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: f.Known,
 	}
 	for _, a := range []struct{ field, addr string }{{"listen", f.Listen}, {"discovery", f.Discovery}} {
-		if _, _, err := net.SplitHostPort(a.addr); err != nil {
-			return nil, fmt.Errorf("%s: %q is no host:port", a.field, a.addr)
+		if err := checkAddr(a.field, a.addr); err != nil {
+			return nil, err
 		}
 	}
 	var err error
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"lynxspool"
@@ -59,20 +60,29 @@
 
 // Discovery follows the list of hosts and tells the loop of it.
 type Discovery struct {
-	addr    string
-	ask     bool // a watch begins only when the module asks for it
+	moved   chan struct{} // there is another address to watch
+	ask     bool          // a watch begins only when the module asks for it
 	asked   chan struct{}
 	version uint64 // of the list as told to the loop; belongs to Run
 	client  http.Client
 	silence time.Duration // after which a watch is taken for dead
+
+	mu     sync.Mutex
+	addr   string
+	fresh  bool                    // addr has not been watched yet
+	cancel context.CancelCauseFunc // ends the present watch; nil without one
 }
 
-var errSilent = errors.New("discovery is silent")
+var (
+	errSilent = errors.New("discovery is silent")
+	errMoved  = errors.New("discovery has moved")
+)
 
 // NewDiscovery returns a Discovery that starts from the known list.
 func NewDiscovery(cfg *Config) *Discovery {
 	return &Discovery{
-		addr: cfg.Discovery, ask: cfg.Settings.Ask, asked: make(chan struct{}, 1), version: cfg.Known.Version,
+		addr: cfg.Discovery, moved: make(chan struct{}, 1),
+		ask: cfg.Settings.Ask, asked: make(chan struct{}, 1), version: cfg.Known.Version,
 		silence: watchSilence,
 		client: http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: watchDial}).DialContext, DisableKeepAlives: true,
@@ -88,8 +98,27 @@
 	}
 }
 
+// Move says that discovery has another address from now on. The old one may go on for
+// a while and say no more, so its watch ends here.
+func (d *Discovery) Move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if addr == d.addr {
+		return
+	}
+	d.addr, d.fresh = addr, true
+	select {
+	case d.moved <- struct{}{}:
+	default: // Run has yet to see the last move
+	}
+	if d.cancel != nil {
+		d.cancel(errMoved)
+	}
+}
+
 // Run watches the list until ctx ends. A watch that breaks is begun anew, soon at
-// first; where the module has to ask, it is told instead and decides when.
+// first; where the module has to ask, it is told instead and decides when. After a
+// move a watch begins at once: what was asked for stands.
 func (d *Discovery) Run(ctx context.Context, loop *Loop) {
 	backoff, lost := watchBackoff, false
 	for ctx.Err() == nil {
@@ -98,6 +127,7 @@
 			case <-ctx.Done():
 				return
 			case <-d.asked:
+			case <-d.moved:
 			}
 		}
 		heard, err := d.watch(ctx, loop)
@@ -107,6 +137,9 @@
 		if heard {
 			backoff, lost = watchBackoff, false
 		}
+		if errors.Is(err, errMoved) {
+			continue
+		}
 		if !lost {
 			slog.Warn("watch of the host list lost, watching anew", "err", err)
 			lost = true
@@ -117,6 +150,7 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-d.moved:
 		case <-time.After(backoff):
 		}
 		backoff = min(2*backoff, watchMost)
@@ -130,11 +164,18 @@
 	silence := time.AfterFunc(d.silence, func() { cancel(errSilent) })
 	defer silence.Stop()
 	defer func() {
-		if context.Cause(ctx) == errSilent {
-			err = errSilent
+		if cause := context.Cause(ctx); cause == errSilent || cause == errMoved {
+			err = cause
 		}
 	}()
-	url := "http://" + d.addr + pathMembers + "?stream=1&index=" + strconv.FormatUint(d.version, 10)
+	d.mu.Lock()
+	addr := d.addr
+	d.cancel = cancel
+	if d.fresh {
+		d.fresh, d.version = false, 0 // another discovery may count its versions anew
+	}
+	d.mu.Unlock()
+	url := "http://" + addr + pathMembers + "?stream=1&index=" + strconv.FormatUint(d.version, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false, err
