Turn away requests without an id and do not blame hosts for bad ones

Hosts answer 400 and 404 in 40 to 130 us. Such an answer counted as an error of the host: it entered the estimate as the base penalty, and a request of a safe class took it to six hosts, one after the other.

At fault: Pool.exchange, which made Failed of every status it did not know. The two that hosts give for a fault of the request are now Rejected: no penalty, no other attempt, and the final answer is a failure. An answer that no host should give is Failed as before. A request without an id gets 400 here and reaches no host.

--- a/api.go
+++ b/api.go
@@ -151,6 +151,7 @@
 	Reset                // the connection broke
 	Canceled             // called off by a Cancel action
 	NotSent              // the gateway did not send it (proves it never ran)
+	Rejected             // the host answered that the request itself is at fault
 )
 
 // Outcome is the end of one attempt. Each Send has exactly one.
@@ -178,7 +179,7 @@
 )
 
 var (
-	resultNames = [...]string{"OK", "Failed", "Full", "TimedOut", "ConnectFailed", "Reset", "Canceled", "NotSent"}
+	resultNames = [...]string{"OK", "Failed", "Full", "TimedOut", "ConnectFailed", "Reset", "Canceled", "NotSent", "Rejected"}
 	actionNames = [...]string{"Send", "Cancel", "Refuse", "Fail", "Wake", "Close", "Watch", "Log"}
 )
 
--- a/balancer.go
+++ b/balancer.go
@@ -553,6 +553,11 @@
 	return nil
 }
 
+// rejected says whether a host found the request itself at fault: others would too.
+func (r *request) rejected() bool {
+	return len(r.atts) > 0 && r.atts[len(r.atts)-1].result == Rejected
+}
+
 func (x Result) mayHaveRun() bool { return x != Full && x != ConnectFailed && x != NotSent }
 
 // ejected says whether a host that failed is out of the draw: until its back-off
@@ -662,6 +667,8 @@
 	case Failed:
 		b.sample(h, max(rtt, b.penalty))
 		b.readmit(h)
+	case Rejected:
+		b.readmit(h) // it has answered; that came too soon to tell of its RTT
 	case Canceled:
 		// Called off at the deadline it has timed out all the same. What the client
 		// gave up, or another copy answered, tells nothing of the host.
@@ -772,7 +779,8 @@
 // mayRetry says whether the request gets another attempt. The in-flight limits
 // keep repeats from feeding an overload.
 func (b *Balancer) mayRetry(r *request) bool {
-	if r.bound || len(r.atts) >= b.set.MaxAttempts || b.now+2*answerSteps*b.set.Step >= r.deadline {
+	if r.bound || r.rejected() || len(r.atts) >= b.set.MaxAttempts ||
+		b.now+2*answerSteps*b.set.Step >= r.deadline {
 		return false
 	}
 	return b.repeatable(r.class, r.first())
@@ -782,7 +790,8 @@
 // only where trying again is known to be harmless.
 func (b *Balancer) answer(r *request) {
 	r.overdue = true
-	if r.first() == nil || r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll {
+	harmless := r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll
+	if r.first() == nil || harmless && !r.rejected() {
 		b.act(Action{Kind: Refuse, Request: r.ID, After: min(b.aim/4, b.set.MaxRetryAfter)})
 	} else {
 		b.act(Action{Kind: Fail, Request: r.ID})
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -200,6 +200,7 @@
 		{ConnectFailed, 250 * ms, 0.25},
 		{Canceled, 900 * ms, -1},
 		{NotSent, 900 * ms, -1},
+		{Rejected, 2 * ms, -1}, // not the host's fault
 	}
 	for _, tt := range tests {
 		g := start(t, basic(), hosts(1)...)
@@ -530,6 +531,7 @@
 		{1, Failed, again}, {1, ConnectFailed, again},
 		{2, Failed, []ActionKind{Fail}}, {2, TimedOut, []ActionKind{Fail}}, {2, Reset, []ActionKind{Fail}},
 		{2, Canceled, []ActionKind{Fail}},
+		{0, Rejected, []ActionKind{Fail}}, {1, Rejected, []ActionKind{Fail}}, {2, Rejected, []ActionKind{Fail}},
 		{2, Full, again}, {2, ConnectFailed, again}, {2, NotSent, again},
 	}
 	for _, tt := range tests {
--- a/cmd/dunemoor/main_test.go
+++ b/cmd/dunemoor/main_test.go
@@ -126,6 +126,7 @@
 		return false, err
 	}
 	r.Header.Set("X-Priority-Class", "book")
+	r.Header.Set("X-Request-ID", "id-1")
 	resp, err := client.Do(r)
 	if err != nil {
 		return true, err
--- a/fuzz_test.go
+++ b/fuzz_test.go
@@ -103,7 +103,7 @@
 		case 0, 1, 2:
 			h.request(x)
 		case 3, 4, 5:
-			h.end(x, Result(data[0]/10%8))
+			h.end(x, Result(data[0]/10%9))
 		case 6:
 			h.news(x, data[0])
 		case 7:
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -86,6 +86,7 @@
 		g.Fatal(err)
 	}
 	r.Header.Set("X-Priority-Class", class)
+	r.Header.Set("X-Request-ID", "id-1")
 	for i := 0; i < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
@@ -155,6 +156,7 @@
 	}{
 		{"unknown class", "other", "b", nil, 400},
 		{"no key", "report", "b", nil, 400},
+		{"no id", "book", "b", []string{"X-Request-ID", ""}, 400},
 		{"odd time-out", "book", "b", []string{"X-Timeout", "soon"}, 400},
 		{"oversize", "book", long, nil, 413},
 		{"oversize and chunked", "book", long, []string{"Transfer-Encoding", "chunked"}, 413},
@@ -181,6 +183,7 @@
 	}{
 		{"500", says(errored), 502, 1},
 		{"reset", breakOff, 502, 1},
+		{"rejected", says("HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n"), 502, 1},
 		{"turned away", func(c net.Conn, r *http.Request, n int) bool {
 			io.WriteString(c, []string{turnedAway, good}[min(n, 1)])
 			return true
@@ -216,8 +219,8 @@
 	server := newHost(t, hang)
 	g := startGateway(t, testConfig(server))
 	for _, head := range []string{
-		"GET /api/1 HTTP/1.1\r\nHost: a\r\nX-Priority-Class: look\r\n\r\n",
-		"POST /api/1 HTTP/1.1\r\nHost: a\r\nX-Priority-Class: book\r\nContent-Length: 4\r\n\r\nbody",
+		"GET /api/1 HTTP/1.1\r\nHost: a\r\nX-Request-ID: id-1\r\nX-Priority-Class: look\r\n\r\n",
+		"POST /api/1 HTTP/1.1\r\nHost: a\r\nX-Request-ID: id-1\r\nX-Priority-Class: book\r\nContent-Length: 4\r\n\r\nbody",
 	} {
 		before, _, _ := server.counts()
 		c, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
@@ -492,7 +495,7 @@
 		}
 		defer c.Close()
 		idle = append(idle, c)
-		io.WriteString(c, "GET /api/1 HTTP/1.1\r\nHost: a\r\nX-Priority-Class: look\r\n\r\n")
+		io.WriteString(c, "GET /api/1 HTTP/1.1\r\nHost: a\r\nX-Request-ID: id-1\r\nX-Priority-Class: look\r\n\r\n")
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil {
 			t.Fatalf("connection %d: %v", i, err)
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -338,6 +338,8 @@
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
 		a.header.Get(headNotProcessed) == "1":
 		return lynxspool.Full, answer{}
+	case status == http.StatusBadRequest || status == http.StatusNotFound:
+		return lynxspool.Rejected, answer{} // of the answers to a fault of the client, hosts give these
 	}
 	return lynxspool.Failed, answer{}
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -308,6 +308,9 @@
 	bad := func(format string, args ...any) (*exchange, int, error) {
 		return nil, http.StatusBadRequest, fmt.Errorf(format, args...)
 	}
+	if r.Header.Get(headRequestID) == "" {
+		return bad("%s: missing", headRequestID)
+	}
 	var ok bool
 	if x.class, ok = s.cfg.Classes[r.Header.Get("X-Priority-Class")]; !ok {
 		return bad("X-Priority-Class: unknown class %q", r.Header.Get("X-Priority-Class"))
