Count an answer that cannot be read as a failed attempt

Evidence: 247 of 9,200 attempts end as a reset, spread evenly over hosts; the report counts none. What came in on them: 72 chunk lengths that are none, 28 status lines of another protocol, 51 statuses that are no number, 26 header lines without a colon, bytes at random, and 43 bodies cut short. Each of those took a host that answers all others out of the draw, for 0.2 s at first.

At fault: Pool.exchange, which took every error of reading but its own two for the end of the connection.

--- a/internal/gateway/host_test.go
+++ b/internal/gateway/host_test.go
@@ -188,7 +188,12 @@
 		{"proof that is none", "HTTP/1.1 503 Full\r\nX-Not-Processed: 0\r\nContent-Length: 0\r\n\r\n", lynxspool.Failed, 1},
 		{"longer than announced", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\ngood", lynxspool.Failed, 0},
 		{"too long a body", "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537), lynxspool.Failed, 0},
-		{"head without end", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxHead+maxBody), lynxspool.Reset, 0},
+		{"head without end", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxHead+maxBody), lynxspool.Failed, 0},
+		{"another protocol", "ICY 200 OK\r\nContent-Length: 4\r\n\r\ngood", lynxspool.Failed, 0},
+		{"no status", "HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\ngood", lynxspool.Failed, 0},
+		{"no header", "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 4\r\n\r\ngood", lynxspool.Failed, 0},
+		{"no chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\ngood\r\n0\r\n\r\n", lynxspool.Failed, 0},
+		{"no HTTP", "\x8f\x00\r\n\r\n", lynxspool.Failed, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -327,10 +327,10 @@
 		return lynxspool.TimedOut, answer{}
 	case ctx.Err() != nil:
 		return lynxspool.Canceled, answer{}
-	case errors.Is(err, errBadAnswer):
-		return lynxspool.Failed, answer{}
-	default:
+	case broken(err):
 		return lynxspool.Reset, answer{}
+	default:
+		return lynxspool.Failed, answer{} // the host has answered, if not as it should
 	}
 	switch {
 	case status == http.StatusOK:
@@ -346,6 +346,13 @@
 
 var errBadAnswer = errors.New("gateway: answer cannot be passed on")
 
+// broken says whether reading failed with the connection, which ended or broke, and not
+// because of what was read from it.
+func broken(err error) bool {
+	var network net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
+}
+
 // read reads one whole answer and says whether the connection can carry another
 // request. An answer that is not sure to be whole is an error: it is not served.
 func (c *conn) read(method string) (status int, a answer, keep bool, err error) {
@@ -353,7 +360,9 @@
 	var resp *http.Response
 	for {
 		resp, err = http.ReadResponse(c.in, &http.Request{Method: method})
-		if err != nil {
+		if err != nil && c.limit.N <= 0 {
+			return 0, a, false, errBadAnswer // a head without end
+		} else if err != nil {
 			return 0, a, false, err
 		}
 		if resp.StatusCode >= 200 {
