Call off attempts that a host has lost

Evidence: 277 attempts were turned away unseen within 1 ms, 249 of them by the two fastest hosts. At those moments such a host had 16 to 22 attempts out, 10 to 21 of which ended called off at their deadline: lost ones, up to 1.3 s old, that hold its 22 connections. Dials failed never.

At fault: listen, which leaves an attempt that no answer will come to until its request's deadline. callOff ends those that later ones have passed: at the aim, after which an answer is worth nothing, with the final answer at once; a safe request goes to another host as soon as its attempt is overdue and out of patience, once. What is merely slow or silent stays, as before.

--- a/balancer.go
+++ b/balancer.go
@@ -672,7 +672,7 @@
 	case Canceled:
 		// Called off at the deadline it has timed out all the same. What the client
 		// gave up, or another copy answered, tells nothing of the host.
-		if !a.req.overdue {
+		if !a.req.overdue && !a.req.stuck {
 			return
 		}
 		fallthrough
@@ -884,6 +884,7 @@
 	b.outNow = 0
 	for _, h := range b.hosts {
 		b.outNow += h.pending
+		b.callOff(h)
 		a := h.sentAfter(h.heard)
 		if a == nil || b.now-a.sent < b.patience(a.req) {
 			continue
@@ -896,6 +897,26 @@
 	}
 }
 
+// callOff ends attempts that a host has lost: passed by later ones and out for longer
+// than the aim, after which an answer is worth nothing. Each holds one of the few
+// connections that the host accepts. A safe request goes elsewhere while there is time,
+// as soon as its attempt is overdue and such a request should have been answered; once,
+// as one that is slow wherever it runs is not helped by a new start.
+func (b *Balancer) callOff(h *host) {
+	for n := h.flight.head; n != nil && n.item.sent < h.passed; {
+		a, r := n.item, n.item.req
+		n = n.next
+		switch age := b.now - a.sent; {
+		case r.done || r.bound || !b.set.Cancel:
+		case age >= r.class.Aim:
+			b.answer(r)
+		case r.class.Effect == Safe && !r.stuck && b.overdue(a) && age >= b.patience(r) && b.mayRetry(r):
+			r.stuck = true
+			b.cancelOthers(r, -1)
+		}
+	}
+}
+
 // sweepSoon makes sure that waiting requests and hosts are looked at again.
 func (b *Balancer) sweepSoon() {
 	if b.sweepAt == 0 && (b.queued > 0 || b.outNow > 0) {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -756,6 +756,47 @@
 	}
 }
 
+// What a host has lost is called off, as it holds one of its connections: a safe request
+// goes out once more while there is time, any other fails once its answer is worthless.
+func TestStuckAttemptIsCalledOff(t *testing.T) {
+	took := func(HostID) time.Duration { return 10 * ms }
+	for _, tt := range []struct {
+		class int
+		want  []ActionKind
+	}{
+		{0, []ActionKind{Cancel, Send}},
+		{2, []ActionKind{Fail, Cancel}},
+	} {
+		set := basic()
+		set.Classes[tt.class].Deadline = 10 * time.Second
+		g := start(t, set, hosts(1)...)
+		g.serve(30, 0, took)
+		g.serve(30, tt.class, took)
+		lost := g.request(tt.class, 10*time.Second)
+		var got []ActionKind
+		for range 60 {
+			id := g.request(1, time.Second)
+			acts := g.advance(10 * ms)
+			for _, a := range acts {
+				got = append(got, a.Kind)
+				if a.Kind == Cancel {
+					g.outcome(lost, 0, Canceled, 100*ms)
+					for _, a := range g.acts {
+						got = append(got, a.Kind)
+					}
+				}
+			}
+			g.outcome(id, 0, OK, 10*ms)
+			if len(got) == len(tt.want) {
+				break
+			}
+		}
+		if !reflect.DeepEqual(got, tt.want) {
+			t.Errorf("class %d: actions %v, want %v", tt.class, got, tt.want)
+		}
+	}
+}
+
 // A host that falls silent behind a stuck attempt is noticed by the next one.
 func TestSilenceBehindAStuckAttempt(t *testing.T) {
 	g := start(t, basic(), hosts(1)...)
--- a/state.go
+++ b/state.go
@@ -99,6 +99,7 @@
 	out      int // attempts in flight
 	done     bool
 	overdue  bool // it was answered for want of time or hosts
+	stuck    bool // an attempt was called off as its host had lost it
 	bound    bool // a stream has begun, it is that attempt's now
 	queued   bool
 	link     node[request] // in its line
