Let a trial past the stuck attempt that got its host ejected

Evidence: in a spell seven of nine hosts hold one attempt, overdue, at a limit of 1 to 2, and are ejected or long past it; the others hold 8 to 16 each. With a limit of one the lost attempt is all that its host holds: nothing later is sent, so nothing can pass it, and the trial that ends an ejection is kept back by the limit and by the overdue attempt, until that reaches its aim or its deadline. The crowding elsewhere then cuts those limits too.

At fault: atLimit, which holds what ejected a host against the trial that is to find out. The trial of a host whose back-off has ended now goes out, one at a time as before; while it is ejected, and in the fail-open path, the limit stands.

Ruled out: attempts turned away (none left), bounds on the rate (they act from eight instances on).

--- a/balancer.go
+++ b/balancer.go
@@ -593,6 +593,10 @@
 // used for that share of the time.
 func (b *Balancer) atLimit(h *host) bool {
 	oldest, n := h.unpassed()
+	if h.fails > 0 && !b.ejected(h) {
+		// What is out there has ejected it, and a trial shows whether that is merely lost.
+		oldest, n = nil, 0
+	}
 	return n > 0 && float64(n+1) > h.limit || b.now < h.restUntil || b.overdue(oldest)
 }
 
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -756,6 +756,33 @@
 	}
 }
 
+// A host whose only attempt is lost is ejected as silent. Its trial must not wait for
+// that attempt's deadline: the limit has room for one attempt, and nothing passes it.
+func TestTrialGoesPastAStuckAttempt(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	h := g.b.hosts[0]
+	took := func(HostID) time.Duration { return 10 * ms }
+	g.serve(30, 0, took)
+	h.limit = 1
+	g.request(2, time.Second)
+	g.advance(200 * ms)
+	if !g.b.ejected(h) {
+		t.Fatal("not ejected")
+	}
+	h.ejectUntil = g.now + ms
+	g.advance(ms)
+	trial := g.request(0, time.Second)
+	g.sole(Send)
+	if !h.trialOut || !g.b.ejected(h) {
+		t.Error("more than one trial may go out")
+	}
+	g.outcome(trial, 0, OK, 10*ms)
+	g.advance(ms)
+	if g.serve(1, 0, took); h.fails != 0 {
+		t.Error("not back after the trial's answer")
+	}
+}
+
 // What a host has lost is called off, as it holds one of its connections: a safe request
 // goes out once more while there is time, any other fails once its answer is worthless.
 func TestStuckAttemptIsCalledOff(t *testing.T) {
