Let a host that turns attempts away rest until it can have room

Each refusal takes 0.1 ms, so nothing is out there and the limit does not hold; as the others are at theirs, it is the one host that is ready, and draws all that waits.

At fault: observe. Its comment names this danger, but the cut of the limit only rests a host whose limit is below one, and with two instances its floor is one. A refusal now rests the host for the RTT that is usual for its kind: by then something that it holds can have ended.

--- a/balancer.go
+++ b/balancer.go
@@ -666,6 +666,9 @@
 		// What is full takes no more: its refusals come at once, and a host that
 		// gives nothing else would draw all that waits. Acts on each such refusal.
 		b.adjust(h, max(aims, 1), a.req.class.Aim, a.sent)
+		// The limit cannot hold it back, with nothing out there. It rests until some of
+		// what it holds can have ended; one that drains unknown to the list gives no more.
+		h.restUntil = max(h.restUntil, b.now+Time(1e9*b.seed(h)))
 		b.press(a, max(rtt, a.req.class.Aim.Seconds()))
 		fallthrough
 	case Failed:
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1039,6 +1039,33 @@
 }
 
 // serra incident ib2aec1: with 17 instances, one attempt each tips a host.
+// A host that turns everything away at once, as one that drains before the list says so,
+// has nothing out and so no limit to hold it back. It must not draw all that waits.
+func TestFullHostRests(t *testing.T) {
+	set := basic()
+	set.Instances = 2 // the limits of both together leave room for one each
+	g := start(t, set, hosts(1)...)
+	g.serve(30, 0, func(HostID) time.Duration { return 20 * ms })
+	turnedAway := 0
+	for range 100 {
+		id := g.request(0, time.Second)
+		acts := append([]Action(nil), g.acts...)
+		acts = append(acts, g.advance(ms)...)
+		for i := 0; i < len(acts); i++ {
+			if acts[i].Kind == Send {
+				turnedAway++
+				g.outcome(acts[i].Request, len(g.b.reqs[acts[i].Request].atts)-1, Full, 0)
+				acts = append(acts, g.acts...)
+			}
+		}
+		g.b.Gone(g.now, id)
+		g.drain()
+	}
+	if turnedAway == 0 || turnedAway > 10 {
+		t.Errorf("%d attempts turned away within 100 ms, a host has 20 ms to make room", turnedAway)
+	}
+}
+
 func TestLimitBelowOneRestsTheHost(t *testing.T) {
 	set := basic()
 	set.Instances = 16
