--- a/balancer.go
+++ b/balancer.go
@@ -667,8 +667,10 @@
 		// gives nothing else would draw all that waits. Acts on each such refusal.
 		b.adjust(h, max(aims, 1), a.req.class.Aim, a.sent)
 		// The limit cannot hold it back, with nothing out there. It rests until some of
-		// what it holds can have ended; one that drains unknown to the list gives no more.
-		h.restUntil = max(h.restUntil, b.now+Time(1e9*b.seed(h)))
+		// what it holds can have ended (one that drains unknown to the list gives no
+		// more), but not so long that what waits for it alone cannot be sent again.
+		rest := min(b.seed(h), waitShare/2*b.aim.Seconds())
+		h.restUntil = max(h.restUntil, b.now+Time(1e9*rest))
 		b.press(a, max(rtt, a.req.class.Aim.Seconds()))
 		fallthrough
 	case Failed:
