Serve operators on a second address and take an upgrade on the inherited socket

Now the process accepts on GW_ACCEPT_FD once a list is heard, leaves it at SIGTERM and serves what its connections still bring; operators call on operator/GW_OPERATOR; Balancer.Maintain keeps a ban by id apart from the list.

Ruled out: that NewFile would set the shared socket blocking under the other process. It leaves a non-blocking descriptor alone.

--- a/balancer.go
+++ b/balancer.go
@@ -35,6 +35,7 @@
 	backoffAims  = 2         // first ejection, in shortest aims
 	backoffMax   = 5         // doublings of an ejection at most
 	patience     = 4         // deviations above the mean RTT after which an unheard host counts as silent
+	backAfter    = 3         // seconds until a host that was called back is tried at the latest
 	coldMargin   = 0.5       // share of the cold budget that is used: rates are learnt and work varies
 	rateFalls    = 4         // span of a host's rate of answers, in Falls
 	limitStart   = 4         // attempts a new host may hold from the whole bank
@@ -72,7 +73,10 @@
 	if err := check(&set); err != nil {
 		return nil, err
 	}
-	b := &Balancer{set: set, rng: seed, byID: map[HostID]*host{}, reqs: map[RequestID]*request{}}
+	b := &Balancer{
+		set: set, rng: seed, byID: map[HostID]*host{}, reqs: map[RequestID]*request{},
+		banned: map[HostID]bool{},
+	}
 	b.aim = set.Classes[0].Aim
 	for _, c := range set.Classes {
 		b.aim = min(b.aim, c.Aim)
@@ -162,6 +166,39 @@
 	b.pump()
 }
 
+// Maintain takes a host out of use, or calls it back. It is keyed by ID alone: what the
+// list says of the host meanwhile changes nothing. A host that is called back may be
+// another process on another machine; what was learnt of it is void, and it is cold.
+func (b *Balancer) Maintain(now Time, id HostID, out bool) {
+	b.now = now
+	was := b.banned[id]
+	h := b.byID[id]
+	if out {
+		b.banned[id] = true
+	} else {
+		delete(b.banned, id)
+	}
+	if h == nil || was == out {
+		return
+	}
+	h.banned = out
+	if !out {
+		b.renew(h)
+		b.chill(h, now)
+		// Called back it is wanted back, however little is learnt of what it can take.
+		h.coldNext = min(h.coldNext, now+Time(1e9*backAfter*(0.5+b.float()/2)))
+	}
+	b.pump()
+}
+
+// renew makes a host one of which nothing is known.
+func (b *Balancer) renew(h *host) {
+	h.rtt, h.rttAt, h.sampled, h.lat = 0, b.now, false, mean{}
+	h.fails, h.ejectUntil, h.trialOut, h.restUntil = 0, 0, false, 0
+	h.heard, h.passed, h.renewed = b.now, b.now, b.now
+	h.limit = limitStart / b.sharers()
+}
+
 // layRing puts the hosts into an order that is the same at every instance and has
 // the kinds of machine spread evenly, so that every stretch is a fair part of the
 // fleet. Few places change when hosts come and go.
@@ -223,7 +260,7 @@
 		if e.State == Removed {
 			return
 		}
-		h = &host{heard: b.now, rttAt: b.now}
+		h = &host{heard: b.now, rttAt: b.now, banned: b.banned[e.ID]}
 		h.mark = mix(uint64(e.ID))
 		b.byID[e.ID] = h
 		b.hosts = append(b.hosts, h)
@@ -239,7 +276,7 @@
 // a host that leaves the list and returns may have been sent to just before.
 func (b *Balancer) chill(h *host, since Time) {
 	if b.set.ColdFrom < 1 && b.now-since < b.set.WarmAfter {
-		h.cold, h.coldAt = true, since
+		h.cold, h.coldAt = true, max(h.coldAt, since)
 		b.paceCold(h)
 	}
 }
@@ -368,7 +405,7 @@
 	listed, out := 0, 0
 	b.ready = b.ready[:0]
 	for _, h := range from {
-		if h.State != Ready || !b.allows(r, h) {
+		if !h.takes() || !b.allows(r, h) {
 			continue
 		}
 		listed++
@@ -385,7 +422,7 @@
 	if out*2 > listed {
 		b.log(logFailOpen, "%d of %d hosts are ejected, using them all the same", out, listed)
 		for _, h := range from {
-			if h.State == Ready && b.allows(r, h) && b.ejected(h) && !b.coldHold(h) && !b.atLimit(h) {
+			if h.takes() && b.allows(r, h) && b.ejected(h) && !b.coldHold(h) && !b.atLimit(h) {
 				b.ready = append(b.ready, h)
 			}
 		}
@@ -415,7 +452,7 @@
 	n, reach, used := len(b.ring), b.reach(), 0
 	from := b.set.Rank * n / b.set.Instances
 	for i := len(b.drawn) - 1; i >= 0; i-- {
-		if h := b.drawn[i]; h.State != Ready {
+		if h := b.drawn[i]; !h.takes() {
 			b.undraw(i)
 		} else if b.inUse(h) {
 			used++
@@ -424,7 +461,7 @@
 	for k := 0; k < n && (k < reach || used < reach); k++ {
 		h := b.ring[(from+k)%n]
 		inUse := b.inUse(h)
-		if h.drawn || h.State != Ready || inUse && used >= reach && b.now < b.redrawAt {
+		if h.drawn || !h.takes() || inUse && used >= reach && b.now < b.redrawAt {
 			continue
 		}
 		if inUse && used >= reach {
@@ -448,6 +485,10 @@
 	b.used = used
 }
 
+// takes says whether a host may be sent anything new: it is listed as ready, and no
+// operator has taken it out.
+func (h *host) takes() bool { return h.State == Ready && !h.banned }
+
 // inUse says whether a drawn host counts: one that is cold or out does not.
 func (b *Balancer) inUse(h *host) bool { return !h.cold && !b.ejected(h) }
 
@@ -643,6 +684,9 @@
 // observe learns from the end of an attempt.
 func (b *Balancer) observe(a *attempt, rtt float64) {
 	h := a.host
+	if a.sent < h.renewed {
+		return // it tells nothing of the process that is there now
+	}
 	// In aims of the class, or as much over what is usual for it, whichever is more.
 	aims := rtt / a.req.class.Aim.Seconds()
 	if l := &b.lat[a.req.Class]; l.seen {
--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -13,11 +13,16 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"lynxspool"
 	"lynxspool/internal/gateway"
 )
 
+// listTime is how long a process that shares its listener waits for a list from discovery
+// before it takes anything from clients; it is due to be ready 6 s after its start.
+const listTime = 4 * time.Second
+
 // memoryShare is the part of the memory limit at which the collector works harder;
 // the rest is for stacks, the binary and what the kernel holds for us.
 const memoryShare = 0.7
@@ -41,7 +46,11 @@
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
 	}
 	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
+		limit := memoryShare * float64(cfg.MemoryMB) * (1 << 20)
+		if cfg.AcceptFD != 0 {
+			limit /= 2 // two processes share it during an upgrade
+		}
+		debug.SetMemoryLimit(int64(limit))
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
@@ -54,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", cfg.Listen)
+	ln, err := listen(cfg)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -62,12 +71,40 @@
 	defer cancel()
 	go pool.Run(ctx)
 	go loop.Run(ctx)
+	server := gateway.NewServer(cfg, loop)
+	broken := make(chan error, 2)
+	if cfg.Operator != "" {
+		bans, err := gateway.NewBans(os.Getenv("TMPDIR"))
+		if err != nil {
+			return err
+		}
+		// Ahead of the hosts: nothing is sent to one that is out.
+		if err := bans.Look(loop); err != nil {
+			return err
+		}
+		operators, err := net.Listen("tcp", cfg.Operator)
+		if err != nil {
+			return fmt.Errorf("operator: %w", err)
+		}
+		shared := cfg.AcceptFD != 0
+		if shared {
+			go bans.Watch(loop, ctx.Done())
+		}
+		operator := gateway.NewOperator(loop, server, bans, shared)
+		go func() { broken <- operator.Serve(operators) }()
+	}
 	loop.Members(lynxspool.ListSaved, cfg.Known)
 	go discovery.Run(ctx, loop)
-	server := gateway.NewServer(cfg, loop)
-	broken := make(chan error, 1)
-	go func() { broken <- server.Serve(ln) }()
-	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
+	go func() {
+		if cfg.AcceptFD != 0 {
+			select {
+			case <-loop.Listed():
+			case <-time.After(listTime):
+			}
+		}
+		slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
+		broken <- server.Serve(ln)
+	}()
 	for {
 		select {
 		case err := <-broken:
@@ -83,6 +120,16 @@
 	}
 }
 
+// listen returns the clients' listener: the one that the platform holds, if it says so.
+func listen(cfg *gateway.Config) (net.Listener, error) {
+	if cfg.AcceptFD == 0 {
+		return net.Listen("tcp", cfg.Listen)
+	}
+	f := os.NewFile(uintptr(cfg.AcceptFD), "GW_ACCEPT_FD")
+	defer f.Close() // the listener has a descriptor of its own
+	return net.FileListener(f)
+}
+
 // reload follows discovery to where the configuration file now says it is. A file that
 // cannot be read changes nothing: better an old address than none.
 func reload(discovery *gateway.Discovery) {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -20,6 +20,8 @@
 	Name      string
 	Listen    string // where clients connect
 	Discovery string // where the list of hosts comes from
+	Operator  string // where operators call; "": nowhere
+	AcceptFD  int    // descriptor of the clients' listening socket, which is shared; 0: Listen is ours
 	Seed      uint64
 
 	Cores    float64
@@ -51,6 +53,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Operator  string
 	Seed      string
 	Limits    struct {
 		Cores    float64
@@ -86,12 +89,23 @@
 	for _, v := range []struct {
 		name string
 		to   *string
-	}{{"GW_NAME", &f.Name}, {"GW_LISTEN", &f.Listen}, {"GW_DISCOVERY", &f.Discovery}} {
+	}{
+		{"GW_NAME", &f.Name}, {"GW_LISTEN", &f.Listen}, {"GW_DISCOVERY", &f.Discovery}, {"GW_OPERATOR", &f.Operator},
+	} {
 		if s := getenv(v.name); s != "" {
 			*v.to = s
 		}
 	}
-	return f.config()
+	c, err := f.config()
+	if err != nil {
+		return nil, err
+	}
+	if fd := getenv("GW_ACCEPT_FD"); fd != "" {
+		if c.AcceptFD, err = strconv.Atoi(fd); err != nil || c.AcceptFD <= 2 {
+			return nil, fmt.Errorf("GW_ACCEPT_FD: %q is no descriptor of a socket", fd)
+		}
+	}
+	return c, nil
 }
 
 // LoadDiscovery reads anew where discovery is. GW_DISCOVERY tells only where it was at
@@ -129,10 +143,15 @@
 
 func (f *file) config() (*Config, error) {
 	c := &Config{
-		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Operator: f.Operator,
 		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: f.Known,
 	}
-	for _, a := range []struct{ field, addr string }{{"listen", f.Listen}, {"discovery", f.Discovery}} {
+	for _, a := range []struct{ field, addr string }{
+		{"listen", f.Listen}, {"discovery", f.Discovery}, {"operator", f.Operator},
+	} {
+		if a.field == "operator" && a.addr == "" {
+			continue // it may be left out
+		}
 		if err := checkAddr(a.field, a.addr); err != nil {
 			return nil, err
 		}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -44,10 +44,12 @@
 }
 
 // host is where attempts go. The loop creates it and updates it through the Pool;
-// Pool.mu guards addr, started and heard.
+// Pool.mu guards all but id and usable.
 type host struct {
 	id      string
-	usable  atomic.Bool // it takes new requests: not so when draining or gone
+	usable  atomic.Bool // it takes new requests: not so when draining, gone or banned
+	ready   bool        // so the list says
+	banned  bool        // an operator has taken it out
 	addr    string
 	started int64     // no connection outlives the process it was made to
 	heard   time.Time // last whole answer
@@ -113,8 +115,10 @@
 
 // update takes over what the list says of a host. Idle connections to one that
 // takes nothing new, that has moved or that was started anew are of no more use.
-func (p *Pool) update(h *host, addr string, started int64, usable bool) {
+func (p *Pool) update(h *host, addr string, started int64, ready bool) {
 	p.mu.Lock()
+	h.ready = ready
+	usable := ready && !h.banned
 	h.usable.Store(usable)
 	stale := !usable || h.addr != addr || h.started != started
 	h.addr, h.started = addr, started
@@ -124,6 +128,16 @@
 	}
 }
 
+// ban takes a host out of use or calls it back. It is started anew meanwhile, so no
+// idle connection outlives the ban.
+func (p *Pool) ban(h *host, out bool) {
+	p.mu.Lock()
+	h.banned = out
+	h.usable.Store(h.ready && !out)
+	p.mu.Unlock()
+	p.closeIdle(h)
+}
+
 // unheard follows an attempt that was given up. If the host has answered nothing
 // since, its idle connections may be half-dead: a machine that has vanished leaves
 // them open and silent, and what is written there may have run for all we know. A dial
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"log/slog"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,7 +33,12 @@
 	lastID lynxspool.RequestID
 	zones  map[string]int
 	kinds  map[string]int
+	named  map[string]bool // ids of hosts that were ever listed
+	banned map[string]bool // ids of hosts that operators have taken out
 	ctx    context.Context // of all attempts
+
+	listed     chan struct{} // closed when discovery has told a list
+	listedOnce sync.Once
 }
 
 // clock is the module's: Unix time as it was at the start, monotonic from then
@@ -64,7 +70,8 @@
 		events: make(chan func(lynxspool.Time), 1024), done: make(chan struct{}),
 		clock: clock{time.Now()}, bal: bal, pool: pool, watch: watch,
 		hosts: map[lynxspool.HostID]*host{}, open: map[lynxspool.RequestID]*exchange{},
-		zones: cfg.Zones, kinds: cfg.Kinds,
+		zones: cfg.Zones, kinds: cfg.Kinds, named: map[string]bool{}, banned: map[string]bool{},
+		listed: make(chan struct{}),
 	}, nil
 }
 
@@ -130,6 +137,48 @@
 	l.post(func(now lynxspool.Time) { l.members(now, kind, list) })
 }
 
+// Listed is closed once discovery has told this process a list: what it knew before may
+// be old.
+func (l *Loop) Listed() <-chan struct{} { return l.listed }
+
+// sync waits until all events posted before it are handled.
+func (l *Loop) sync() {
+	handled := make(chan struct{})
+	l.post(func(lynxspool.Time) { close(handled) })
+	select {
+	case <-handled:
+	case <-l.done:
+	}
+}
+
+// known says whether a host was ever listed, or taken out by an operator who knew it.
+func (l *Loop) known(id string) (known bool) {
+	answer := make(chan bool, 1)
+	l.post(func(lynxspool.Time) { answer <- l.named[id] || l.banned[id] })
+	select {
+	case known = <-answer:
+	case <-l.done:
+	}
+	return known
+}
+
+// maintain takes a host out of use, or calls it back. What waits for a connection to it
+// is not sent.
+func (l *Loop) maintain(id string, out bool) {
+	l.post(func(now lynxspool.Time) {
+		if out {
+			l.banned[id] = true
+		} else {
+			delete(l.banned, id)
+		}
+		if h := l.hosts[hostID(id)]; h != nil && h.id == id {
+			l.pool.ban(h, out)
+		}
+		l.bal.Maintain(now, hostID(id), out)
+		l.tellReady()
+	})
+}
+
 func (l *Loop) members(now lynxspool.Time, kind lynxspool.ListKind, list MemberList) {
 	if kind != lynxspool.ListFailed {
 		listed := map[lynxspool.HostID]bool{}
@@ -145,8 +194,9 @@
 			if h == nil && e.State == lynxspool.Removed {
 				continue // it went before we knew of it
 			} else if h == nil {
-				h = &host{id: m.ID}
+				h = &host{id: m.ID, banned: l.banned[m.ID]}
 				l.hosts[e.ID] = h
+				l.named[m.ID] = true
 				// The module's lines name a host by its number; once a host is not too many.
 				slog.Info("host listed", "host", m.ID, "number", strconv.FormatUint(uint64(e.ID), 16), "addr", m.Addr)
 			} else if h.id != m.ID {
@@ -176,6 +226,13 @@
 	} else {
 		l.bal.Hosts(now, kind, nil)
 	}
+	l.tellReady()
+	if kind == lynxspool.ListFull || kind == lynxspool.ListChanges {
+		l.listedOnce.Do(func() { close(l.listed) })
+	}
+}
+
+func (l *Loop) tellReady() {
 	ready := false
 	for _, h := range l.hosts {
 		ready = ready || h.usable.Load()
--- /dev/null
+++ b/internal/gateway/operator_test.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lynxspool"
+)
+
+// operate puts an operator's address beside a gateway and returns where it is.
+func (g *testGateway) operate(dir string, shared bool) string {
+	g.Helper()
+	bans, err := NewBans(dir)
+	if err != nil {
+		g.Fatal(err)
+	}
+	o := NewOperator(g.loop, g.server, bans, shared)
+	ln := listen(g.T, "127.0.0.1:0", nil)
+	go o.Serve(ln)
+	g.Cleanup(func() { o.http.Close() })
+	return ln.Addr().String()
+}
+
+// call sends text to an operator's address and returns the status of the answer, 0
+// for none, and whether the connection ends behind it.
+func call(t *testing.T, addr, text string) (status int, ends bool) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	io.WriteString(c, text)
+	in := bufio.NewReader(c)
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return 0, true
+	}
+	io.Copy(io.Discard, resp.Body)
+	_, err = in.ReadByte()
+	return resp.StatusCode, err == io.EOF
+}
+
+func line(method, path string) string {
+	return method + " " + path + " HTTP/1.1\r\nHost: operators\r\n\r\n"
+}
+
+func TestOperatorsCalls(t *testing.T) {
+	g := startGateway(t, testConfig(newHost(t, says(good)), newHost(t, says(good))))
+	g.loop.sync()
+	addr := g.operate(t.TempDir(), false)
+	for _, tt := range []struct {
+		text string
+		want int
+	}{
+		{line("GET", "/healthcheck"), 200},
+		{line("PUT", "/healthcheck"), 405},
+		{line("GET", "/health"), 404},
+		{line("GET", "//healthcheck"), 404},
+		{line("GET", "/"), 404},
+		{line("PUT", "/hosts/s-0/maint"), 200},
+		{line("PUT", "/hosts/s-0/maint"), 200},
+		{line("PUT", "/hosts/s%2D0/ready"), 200},
+		{line("PUT", "/hosts/s-0/ready"), 200},
+		{line("GET", "/hosts/s-0/maint"), 405},
+		{line("POST", "/hosts/s-0/ready"), 405},
+		{line("PUT", "/hosts/s-0"), 404},
+		{line("PUT", "/hosts/s-0/maint/"), 404},
+		{line("PUT", "/hosts/s-0/drain"), 404},
+		{line("PUT", "/hosts//maint"), 404},
+		{line("PUT", "/hosts/s-9/maint"), 404},
+		{line("PUT", "/hosts/s-9/ready"), 404},
+		{"PUT /hosts/s-1/maint HTTP/1.1\r\nHost: o\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		{"PUT /hosts/s-1/maint HTTP/1.1\r\nHost: o\r\nContent-Length: 10000\r\n\r\n" + strings.Repeat("x", 10000), 400},
+		{"PUT /hosts/s-1/maint HTTP/1.1\r\n\r\n", 400},
+		{"make it so\r\n\r\n", 400},
+	} {
+		status, ends := call(t, addr, tt.text)
+		if status != tt.want || !ends {
+			t.Errorf("%.40q: status %d, connection ends %v; want %d and an end", tt.text, status, ends, tt.want)
+		}
+	}
+	if g.loop.hosts[hostID("s-1")].banned {
+		t.Error("a call that was refused has been carried out")
+	}
+}
+
+// Callers who send nothing, or half a call, delay nobody and act on nothing.
+func TestSilentOperatorsDelayNobody(t *testing.T) {
+	g := startGateway(t, testConfig(newHost(t, says(good))))
+	g.loop.sync()
+	addr := g.operate(t.TempDir(), false)
+	for i := range 3 * operatorConns {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, []string{"", "PUT /hosts/s-0/ma", "PUT /hosts/s-0/maint HTTP/1.1\r\nHost: o\r\nContent-Length: 5\r\n\r\nx"}[i%3])
+	}
+	began := time.Now()
+	if status, _ := call(t, addr, line("GET", "/healthcheck")); status != 200 {
+		t.Errorf("status %d", status)
+	}
+	if took := time.Since(began); took >= operatorRead {
+		t.Errorf("the answer took %v, as long as the others were given", took)
+	}
+	g.loop.sync()
+	if g.loop.hosts[hostID("s-0")].banned {
+		t.Error("half a call has been carried out")
+	}
+}
+
+// Nothing new goes to a host once the operator has a yes, not even what waits for a
+// connection to it, and whatever discovery says.
+func TestMaintenanceBindsWhatWaits(t *testing.T) {
+	hosts := []*testHost{newHost(t, says(good)), newHost(t, says(good))}
+	cfg := testConfig(hosts...)
+	g := startGateway(t, cfg)
+	g.loop.sync()
+	addr := g.operate(t.TempDir(), false)
+	// An attempt that has chosen its host, but has no connection yet.
+	h := g.loop.hosts[hostID("s-0")]
+	if status, _ := call(t, addr, line("PUT", "/hosts/s-0/maint")); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	if result, _ := tryOnce(t, g.loop.pool, h, newExchange("b")); result != lynxspool.NotSent {
+		t.Errorf("an attempt ends with %v, want it not sent", result)
+	}
+	g.loop.Members(lynxspool.ListChanges, MemberList{Servers: []Member{{ID: "s-0", State: "gone"}}})
+	g.loop.Members(lynxspool.ListFull, cfg.Known)
+	for range 20 {
+		if resp, _ := g.ask("look", "/api/1", ""); resp.StatusCode != 200 {
+			t.Fatalf("status %d", resp.StatusCode)
+		}
+	}
+	if requests, _, _ := hosts[0].counts(); requests != 0 {
+		t.Errorf("the host that is out got %d requests", requests)
+	}
+	if status, _ := call(t, addr, line("PUT", "/hosts/s-0/ready")); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	until(t, "the host is in use again", func() bool {
+		g.ask("look", "/api/1", "")
+		requests, _, _ := hosts[0].counts()
+		return requests > 0
+	})
+}
+
+// A ban outlives its process: the next one reads it before it sends anything. While both
+// run, what one is told the other follows.
+func TestBansAreShared(t *testing.T) {
+	dir := t.TempDir()
+	odd := "../s/0%"
+	start := func() (*testGateway, string, *Bans) {
+		cfg := testConfig()
+		cfg.Known.Servers = []Member{{ID: odd, Addr: "127.0.0.1:1", State: "ready"}}
+		g := startGateway(t, cfg)
+		bans, err := NewBans(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := bans.Look(g.loop); err != nil {
+			t.Fatal(err)
+		}
+		g.loop.sync()
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		go bans.Watch(g.loop, ctx.Done())
+		return g, g.operate(dir, true), bans
+	}
+	old, oldAddr, _ := start()
+	path := "/hosts/..%2Fs%2F0%25/"
+	if status, _ := call(t, oldAddr, line("PUT", path+"maint")); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	next, nextAddr, _ := start()
+	if next.loop.Ready() {
+		t.Error("the next process would use the host")
+	}
+	if status, _ := call(t, nextAddr, line("PUT", path+"ready")); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	until(t, "the old process follows", old.loop.Ready)
+	if status, _ := call(t, nextAddr, line("PUT", path+"maint")); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	until(t, "the old process follows", func() bool { return !old.loop.Ready() })
+}
+
+// Health on the operator's address follows what this process can do.
+func TestHealthcheck(t *testing.T) {
+	g := startGateway(t, testConfig())
+	addr := g.operate("", false)
+	want := func(status int, why string) {
+		t.Helper()
+		if got, _ := call(t, addr, line("GET", "/healthcheck")); got != status {
+			t.Errorf("%s: status %d, want %d", why, got, status)
+		}
+	}
+	want(503, "no host is known")
+	g.loop.Members(lynxspool.ListFull, MemberList{Servers: []Member{{ID: "s-0", Addr: "127.0.0.1:1", State: "ready"}}})
+	g.loop.sync()
+	want(200, "a host is known")
+	g.loop.maintain("s-0", true)
+	g.loop.sync()
+	want(503, "the only host is out")
+	g.loop.maintain("s-0", false)
+	g.loop.sync()
+	g.server.accepting.Store(false)
+	want(503, "it does not accept")
+	g.server.accepting.Store(true)
+	g.server.stopping.Store(true)
+	want(503, "it stops")
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -106,8 +106,10 @@
 
 	rejects limitedLog
 
-	stopping atomic.Bool
-	exitAt   time.Time // set before stopping: all answers are due by then
+	ln        atomic.Pointer[net.Listener]
+	accepting atomic.Bool
+	stopping  atomic.Bool
+	exitAt    time.Time // set before stopping: all answers are due by then
 
 	mu    sync.Mutex
 	conns map[net.Conn]connState
@@ -144,25 +146,74 @@
 
 // Serve takes requests from ln until Stop has closed it.
 func (s *Server) Serve(ln net.Listener) error {
-	if err := s.http.Serve(framedListener{ln}); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	s.ln.Store(&ln)
+	if s.stopping.Load() {
+		ln.Close() // Stop may have come too early to see it
+	} else {
+		s.accepting.Store(true)
 	}
-	return nil
+	err := s.http.Serve(framedListener{ln})
+	s.accepting.Store(false)
+	if errors.Is(err, http.ErrServerClosed) || s.stopping.Load() {
+		return nil
+	}
+	return err
 }
 
-// Stop ends service in order: it goes on taking what still comes, asking clients to
-// leave, then closes the listener and idle connections and waits for what was taken.
+// Stop ends service in order. With a listener of its own it goes on taking what still
+// comes, asking clients to leave, then closes the listener and idle connections and
+// waits for what was taken. A shared listener it leaves at once: another process takes
+// what comes. The connections it has it then keeps for as long as a request on them can
+// be answered in time, as closing one may cross a request.
 func (s *Server) Stop() {
 	now := time.Now()
-	s.exitAt = now.Add(exitTime + min(s.longest, exitDeadline) - stopMargin)
+	most := min(s.longest, exitDeadline)
+	s.exitAt = now.Add(exitTime + most - stopMargin)
 	s.stopping.Store(true)
-	time.Sleep(lingerTime)
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	if s.cfg.AcceptFD != 0 {
+		if ln := s.ln.Load(); ln != nil {
+			(*ln).Close()
+		}
+		for leave := s.exitAt.Add(-most / 2); s.connected() && time.Now().Before(leave); <-tick.C {
+		}
+	} else {
+		time.Sleep(lingerTime)
+	}
 	s.closeIdle()
 	ctx, cancel := context.WithDeadline(context.Background(), s.exitAt)
 	defer cancel()
 	go s.http.Shutdown(ctx) // it looks for the last connection too seldom to be waited for
-	for tick := time.NewTicker(10 * time.Millisecond); s.busy() && time.Now().Before(s.exitAt); <-tick.C {
+	for s.busy() && time.Now().Before(s.exitAt) {
+		<-tick.C
+	}
+}
+
+// Healthy is nil when this process serves: it takes what comes and has a host to send it
+// to.
+func (s *Server) Healthy() error {
+	switch {
+	case s.stopping.Load():
+		return errStopping
+	case !s.accepting.Load():
+		return errors.New("not accepting yet")
+	case !s.loop.Ready():
+		return errNoHosts
 	}
+	return nil
+}
+
+var (
+	errStopping = errors.New("stopping")
+	errNoHosts  = errors.New("no hosts known")
+)
+
+// connected says whether any client is still connected.
+func (s *Server) connected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) > 0
 }
 
 // busy says whether a connection holds a request, or may yet bring its first.
@@ -288,14 +339,11 @@
 
 // health tells the front whether requests can be served.
 func (s *Server) health(w http.ResponseWriter) {
-	switch {
-	case s.stopping.Load():
-		http.Error(w, "stopping", http.StatusServiceUnavailable)
-	case !s.loop.Ready():
-		http.Error(w, "no hosts known", http.StatusServiceUnavailable)
-	default:
-		io.WriteString(w, "ok\n")
+	if err := s.Healthy(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
 	}
+	io.WriteString(w, "ok\n")
 }
 
 // read reads a request whole and looks up what the module needs. An error comes
--- a/state.go
+++ b/state.go
@@ -24,6 +24,7 @@
 	rate     rate    // own requests a second
 	byID     map[HostID]*host
 	reqs     map[RequestID]*request
+	banned   map[HostID]bool // taken out by an operator, listed or not
 	bands    []list[request] // waiting requests, most worth first
 	band     [][4]int
 	queued   int
@@ -66,12 +67,14 @@
 	rtt       float64 // peak EWMA in seconds, as of rttAt
 	rttAt     Time
 	drawn     bool
+	banned    bool // an operator has taken it out
 	slot      int  // its number on the ring
 	sampled   bool // else it has the seed of its kind
 	pending   int
 	flight    list[attempt] // in the order sent
 	heard     Time          // last answer of any kind
 	broke     Time          // last connection that failed
+	renewed   Time          // when an operator called it back: what was sent before tells nothing
 	passed    Time          // when the last-sent attempt that it served was sent
 	limit     float64       // attempts it may hold from this instance
 	lat       mean          // RTT of answers and time-outs in aims, not decayed
