Take over settings at SIGHUP as a whole, open requests keep their rules

Now the file is checked as a whole, the module takes the settings as an event (Balancer.Retune) and matches classes by name; an open request holds on to its class and its attempts.

Checked: each kind of broken file (empty, cut off, a key short, deadline or attempts not above 0) leaves the settings in force and names its reason. Ruled out: taking an absent key for its default, which made a file without max_attempts pass.

--- a/api.go
+++ b/api.go
@@ -60,6 +60,7 @@
 
 // Class describes one kind of request.
 type Class struct {
+	Name     string        // optional; tells at Retune which classes stay
 	Aim      time.Duration // an answer within it earns the full worth; 0: the Deadline
 	Deadline time.Duration // how long a client waits in all
 	Worth    float64       // worth of an answer; 0 counts as 1
--- a/balancer.go
+++ b/balancer.go
@@ -74,22 +74,63 @@
 		return nil, err
 	}
 	b := &Balancer{
-		set: set, rng: seed, byID: map[HostID]*host{}, reqs: map[RequestID]*request{},
-		banned: map[HostID]bool{},
+		rng: seed, byID: map[HostID]*host{}, reqs: map[RequestID]*request{}, banned: map[HostID]bool{},
 	}
-	b.aim = set.Classes[0].Aim
+	b.adopt(set)
+	return b, nil
+}
+
+// Retune is a change of the settings. Open requests keep the rules they came under, their
+// attempts included; what was learnt of a class stays with its name. Settings that cannot
+// be served change nothing.
+func (b *Balancer) Retune(now Time, set Settings) error {
+	b.now = now
+	if err := check(&set); err != nil {
+		return err
+	}
+	var waiting []*request
+	for i := range b.bands {
+		for n := b.bands[i].head; n != nil; n = b.bands[i].head {
+			waiting = append(waiting, n.item)
+			b.dequeue(n.item)
+		}
+	}
+	b.adopt(set)
+	for _, r := range waiting {
+		// Its class may be gone: it waits where it would, were it there still.
+		r.band = b.lineOf(partWorth(&r.class.Class, r.part, &b.set))
+		b.push(r, false)
+	}
+	b.pump()
+	return nil
+}
+
+// adopt puts settings that are checked into force.
+func (b *Balancer) adopt(set Settings) {
+	old, quota := b.classes, b.quota
+	b.set, b.classes, b.quota = set, nil, nil
+	b.aim, b.penalty = set.Classes[0].Aim, 0
 	for _, c := range set.Classes {
 		b.aim = min(b.aim, c.Aim)
 		b.penalty = max(b.penalty, penaltyAims*c.Aim.Seconds())
+		k := &class{Class: c}
+		for _, o := range old {
+			if o.Name == c.Name && c.Name != "" {
+				k.lat = o.lat
+			}
+		}
+		b.classes = append(b.classes, k)
 	}
 	b.decay = decayAims * b.aim.Seconds()
-	for _, t := range set.Tenants {
+	for i, t := range set.Tenants {
 		r := t.Quota / float64(set.Instances)
-		b.quota = append(b.quota, bucket{tokens: r * quotaBurst, rate: r})
+		q := bucket{tokens: r * quotaBurst, rate: r, at: b.now}
+		if i < len(quota) && quota[i].rate == r {
+			q = quota[i]
+		}
+		b.quota = append(b.quota, q)
 	}
-	b.lat = make([]mean, len(set.Classes))
 	b.layBands()
-	return b, nil
 }
 
 // layBands orders the waiting lines: each class has one within quota and one
@@ -97,35 +138,46 @@
 // of equal worth, the one with the tighter aim.
 func (b *Balancer) layBands() {
 	type line struct {
-		class, part int
-		worth       float64
+		class *class
+		part  int
+		worth float64
 	}
 	var lines []line
-	for i, c := range b.set.Classes {
-		for part := range 4 {
-			worth := c.Worth
-			if part&overQuota != 0 {
-				worth *= b.set.OverQuotaWorth
-			}
-			if part&repeated != 0 {
-				worth *= repeatWorth
-			}
-			lines = append(lines, line{i, part, worth})
+	for _, c := range b.classes {
+		for part := range len(c.bands) {
+			lines = append(lines, line{c, part, partWorth(&c.Class, part, &b.set)})
 		}
 	}
 	sort.SliceStable(lines, func(i, j int) bool {
 		if lines[i].worth != lines[j].worth {
 			return lines[i].worth > lines[j].worth
 		}
-		return b.set.Classes[lines[i].class].Aim < b.set.Classes[lines[j].class].Aim
+		return lines[i].class.Aim < lines[j].class.Aim
 	})
-	b.band = make([][4]int, len(b.set.Classes))
-	b.bands = make([]list[request], len(lines))
+	b.bands, b.worths = make([]list[request], len(lines)), b.worths[:0]
 	for k, l := range lines {
-		b.band[l.class][l.part] = k
+		l.class.bands[l.part] = k
+		b.worths = append(b.worths, l.worth)
 	}
 }
 
+// partWorth is what a request of a part of its class is worth.
+func partWorth(c *Class, part int, set *Settings) float64 {
+	worth := c.Worth
+	if part&overQuota != 0 {
+		worth *= set.OverQuotaWorth
+	}
+	if part&repeated != 0 {
+		worth *= repeatWorth
+	}
+	return worth
+}
+
+// lineOf is the first line that is worth no more, or the last.
+func (b *Balancer) lineOf(worth float64) int {
+	return min(sort.Search(len(b.worths), func(i int) bool { return b.worths[i] <= worth }), len(b.worths)-1)
+}
+
 // Start is the first event: the gateway has come up. Where the list must be
 // asked for, the watch begins here, spread by rank so that a bank that starts
 // together does not swamp discovery.
@@ -284,13 +336,14 @@
 // Request is a client's request, owed one final answer from here on.
 func (b *Balancer) Request(now Time, q Request) {
 	b.now = now
-	if b.reqs[q.ID] != nil || q.Class < 0 || q.Class >= len(b.set.Classes) {
+	if b.reqs[q.ID] != nil || q.Class < 0 || q.Class >= len(b.classes) {
 		return
 	}
 	r := b.newRequest()
-	r.Request, r.class, r.arrived = q, &b.set.Classes[q.Class], now
+	r.Request, r.class, r.arrived, r.attempts = q, b.classes[q.Class], now, b.set.MaxAttempts
 	r.deadline = now + min(max(q.Left, 0), r.class.Deadline)
-	r.band = b.band[q.Class][b.part(r)]
+	r.part = b.part(r)
+	r.band = r.class.bands[r.part]
 	b.reqs[q.ID] = r
 	b.rate.add(now, b.rateSpan())
 	// Every request has a timer ahead of its deadline: an attempt that is still
@@ -528,9 +581,9 @@
 // returns its RTT as one of a typical class: a host that last served a slow class
 // must not look slow for it.
 func (b *Balancer) typical(a *attempt, rtt float64) float64 {
-	b.lat[a.req.Class].addLong(rtt)
+	a.req.class.lat.addLong(rtt)
 	b.all.add(rtt)
-	rtt *= b.all.mean / b.lat[a.req.Class].mean
+	rtt *= b.all.mean / a.req.class.lat.mean
 	if k := a.host.Kind; k >= 0 && k <= kindsMost {
 		for len(b.kinds) <= k {
 			b.kinds = append(b.kinds, mean{})
@@ -562,7 +615,7 @@
 func (b *Balancer) allows(r *request, h *host) bool {
 	first := r.first()
 	switch c := r.class; {
-	case !b.repeatable(c, first):
+	case !b.repeatable(&c.Class, first):
 		return false
 	case first == nil || c.Effect == Safe:
 		return true
@@ -689,7 +742,7 @@
 	}
 	// In aims of the class, or as much over what is usual for it, whichever is more.
 	aims := rtt / a.req.class.Aim.Seconds()
-	if l := &b.lat[a.req.Class]; l.seen {
+	if l := &a.req.class.lat; l.seen {
 		aims = max(aims, limitAims/limitTimes*rtt/l.mean)
 	}
 	if a.trial {
@@ -774,7 +827,7 @@
 // of the fleet where boundShare instances or more have part of an attempt at a host.
 func (b *Balancer) press(a *attempt, rtt float64) {
 	target := pressAims * a.req.class.Aim.Seconds()
-	if l := &b.lat[a.req.Class]; l.seen {
+	if l := &a.req.class.lat; l.seen {
 		target = min(target, pressTimes*l.mean)
 	}
 	b.pressure.blend(min(rtt/target, pressMost), pressWeight)
@@ -837,11 +890,11 @@
 // mayRetry says whether the request gets another attempt. The in-flight limits
 // keep repeats from feeding an overload.
 func (b *Balancer) mayRetry(r *request) bool {
-	if r.bound || r.rejected() || len(r.atts) >= b.set.MaxAttempts ||
+	if r.bound || r.rejected() || len(r.atts) >= r.attempts ||
 		b.now+2*answerSteps*b.set.Step >= r.deadline {
 		return false
 	}
-	return b.repeatable(r.class, r.first())
+	return b.repeatable(&r.class.Class, r.first())
 }
 
 // answer gives the final answer to a request that will not be served: a refusal
@@ -921,7 +974,7 @@
 
 // patience is how long an attempt may take before its host counts as silent.
 func (b *Balancer) patience(r *request) Time {
-	if l := &b.lat[r.Class]; l.seen {
+	if l := &r.class.lat; l.seen {
 		return Time(1e9 * (l.mean + patience*l.dev))
 	}
 	return r.class.Aim / 2
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -234,7 +234,7 @@
 			h.rtt, h.rttAt, h.sampled, h.pending, h.limit = tt.rtt[i], g.now, true, tt.pending[i], 10
 		}
 		for range 20 {
-			if got := g.b.pick(&request{class: &g.b.set.Classes[0]}); got != g.b.hosts[tt.wantHost] {
+			if got := g.b.pick(&request{class: g.b.classes[0]}); got != g.b.hosts[tt.wantHost] {
 				t.Errorf("%s: picked host %d", tt.name, got.ID)
 			}
 		}
@@ -250,7 +250,7 @@
 	}
 	got := map[HostID]int{}
 	for range 6000 {
-		got[g.b.pick(&request{class: &g.b.set.Classes[0]}).ID]++
+		got[g.b.pick(&request{class: g.b.classes[0]}).ID]++
 	}
 	for id, want := range map[HostID]int{1: 3000, 2: 2000, 3: 1000, 4: 0} {
 		if d := got[id] - want; d > 200 || d < -200 {
@@ -385,7 +385,7 @@
 	if g.b.bound == 0 {
 		t.Errorf("no bound at two and a half times the usual RTT, pressure %v", g.b.pressure.mean)
 	}
-	if l := g.b.lat[0].mean; l > 0.05 {
+	if l := g.b.classes[0].lat.mean; l > 0.05 {
 		t.Errorf("usual RTT %v after a short jam, want about 0.04", l)
 	}
 }
@@ -1640,3 +1640,86 @@
 		t.Errorf("the host is tried after %v", wait)
 	}
 }
+
+// A change of the settings binds what comes after it. An open request keeps its rules,
+// attempts included, though its class is dropped or means something else by then.
+func TestRetuneLeavesOpenRequestsTheirRules(t *testing.T) {
+	set := basic()
+	set.Classes[0].Name, set.Classes[2].Name = "look", "book"
+	g := start(t, set, hosts(4)...)
+	g.serve(50, 0, func(HostID) time.Duration { return 10 * ms })
+	safe, unsafe := g.request(0, time.Second), g.request(2, time.Second)
+	g.drain()
+	next := basic()
+	next.MaxAttempts = 1
+	next.Classes = []Class{
+		{Name: "book", Aim: 400 * ms, Deadline: time.Second, Effect: Safe},
+		{Name: "haul", Aim: 800 * ms, Deadline: 2 * time.Second, Effect: Unsafe},
+	}
+	if err := g.b.Retune(g.now, next); err != nil {
+		t.Fatal(err)
+	}
+	g.drain()
+	for n := range 3 { // of four attempts
+		g.outcome(safe, n, Failed, ms)
+		g.sole(Send)
+	}
+	g.outcome(safe, 3, Failed, ms)
+	g.sole(Refuse)
+	g.outcome(unsafe, 0, Failed, ms)
+	g.sole(Fail) // it may have run
+	now := g.request(0, time.Second)
+	g.sole(Send)
+	g.outcome(now, 0, Failed, ms)
+	g.sole(Refuse) // one attempt, and harmless
+	late := g.request(1, 2*time.Second)
+	g.sole(Send)
+	g.outcome(late, 0, Failed, ms)
+	g.sole(Fail)
+	if g.request(2, time.Second); len(g.acts) != 0 {
+		t.Errorf("actions %v for a class that is no more", g.acts)
+	}
+	if g.b.classes[0].lat.seen || g.b.aim != 400*ms || len(g.b.reqs) != 0 {
+		t.Errorf("class %+v, aim %v, %d requests", g.b.classes[0], g.b.aim, len(g.b.reqs))
+	}
+}
+
+// What is learnt of a class stays with its name, and what waits goes on waiting.
+func TestRetuneKeepsWhatIsLearntAndWhatWaits(t *testing.T) {
+	set := basic()
+	set.ColdFrom = 1 // so that nothing is paced
+	for i, name := range []string{"look", "report", "book"} {
+		set.Classes[i].Name = name
+	}
+	g := start(t, set, hosts(1)...)
+	g.serve(50, 2, func(HostID) time.Duration { return 10 * ms })
+	learnt := g.b.classes[2].lat
+	g.b.Maintain(g.now, 1, true)
+	gone, stays := g.request(0, time.Second), g.request(2, time.Second)
+	next := set
+	next.Classes = []Class{set.Classes[2], set.Classes[1]}
+	if err := g.b.Retune(g.now, next); err != nil {
+		t.Fatal(err)
+	}
+	if g.b.classes[0].lat != learnt {
+		t.Errorf("learnt %+v, want %+v", g.b.classes[0].lat, learnt)
+	}
+	g.drain()
+	if len(g.acts) != 0 || g.b.queued != 2 {
+		t.Fatalf("actions %v, %d waiting; want both to wait", g.acts, g.b.queued)
+	}
+	g.b.Maintain(g.now, 1, false)
+	g.drain()
+	var sent []RequestID
+	for _, a := range g.acts {
+		sent = append(sent, a.Request)
+	}
+	if len(sent) == 0 || sent[0] != stays {
+		t.Errorf("sent %v, want %d, worth most, before %d", sent, stays, gone)
+	}
+	bad := next
+	bad.Classes = nil
+	if err := g.b.Retune(g.now, bad); err == nil || len(g.b.classes) != 2 {
+		t.Errorf("settings without classes: %v, %d classes in force", err, len(g.b.classes))
+	}
+}
--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -110,7 +110,7 @@
 		case err := <-broken:
 			return fmt.Errorf("listen: %w", err)
 		case <-reloads:
-			reload(discovery)
+			cfg = reload(cfg, loop, discovery)
 		case s := <-signals:
 			slog.Info("stopping", "signal", s.String())
 			server.Stop()
@@ -130,14 +130,17 @@
 	return net.FileListener(f)
 }
 
-// reload follows discovery to where the configuration file now says it is. A file that
-// cannot be read changes nothing: better an old address than none.
-func reload(discovery *gateway.Discovery) {
-	addr, err := gateway.LoadDiscovery(os.Getenv)
+// reload puts the settings of the configuration file into force and follows discovery to
+// where it now says that is. A file with any fault changes nothing: better all of the old
+// than a part of the new.
+func reload(inForce *gateway.Config, loop *gateway.Loop, discovery *gateway.Discovery) *gateway.Config {
+	cfg, err := gateway.Reload(os.Getenv, inForce)
 	if err != nil {
-		slog.Error("configuration not read anew", "err", err)
-		return
+		slog.Error("configuration not read anew, the old one stands", "err", err)
+		return inForce
 	}
-	slog.Info("configuration read anew", "discovery", addr)
-	discovery.Move(addr)
+	loop.Retune(&cfg.Rules)
+	discovery.Move(cfg.Discovery)
+	slog.Info("configuration read anew", "discovery", cfg.Discovery, "classes", len(cfg.Classes))
+	return cfg
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,19 +30,35 @@
 	MemoryMB int
 	Sockets  int // file descriptors that the process may hold
 
-	Known    MemberList // the hosts as this gateway last had them
-	Settings lynxspool.Settings
+	Known MemberList // the hosts as this gateway last had them
+	Rules
+	raw json.RawMessage // the settings object
 
-	// Names as they stand in requests and lists; the module knows their index.
-	Classes map[string]int
-	Tenants map[string]int
-	Zones   map[string]int
-	Kinds   map[string]int
+	// Names as they stand in lists; the module knows their index.
+	Zones map[string]int
+	Kinds map[string]int
 
 	ConnIdle    time.Duration // a host closes a connection that was idle this long
 	DialTimeout time.Duration // a connection that is not up by then has failed
 }
 
+// Rules is the part of the configuration that can change at SIGHUP: the module's
+// settings, and the names of classes and tenants as they stand in requests, of which the
+// module knows the index. It is replaced as a whole.
+type Rules struct {
+	Settings lynxspool.Settings
+	Classes  map[string]int
+	Tenants  map[string]int
+}
+
+// longest is the longest deadline of any class.
+func (r *Rules) longest() (d time.Duration) {
+	for _, c := range r.Settings.Classes {
+		d = max(d, c.Deadline)
+	}
+	return d
+}
+
 // Defaults of what the file may leave out.
 const (
 	defaultConnIdle    = time.Minute
@@ -108,14 +126,103 @@
 	return c, nil
 }
 
-// LoadDiscovery reads anew where discovery is. GW_DISCOVERY tells only where it was at
-// the start, so here the file alone counts.
-func LoadDiscovery(getenv func(string) string) (string, error) {
+// Reload reads the file anew, at SIGHUP, and checks all of it as at a start. What the
+// GW_ variables say was true at the start only, so here the file alone counts. Its
+// settings must have every key that those in force have.
+func Reload(getenv func(string) string, inForce *Config) (*Config, error) {
 	f, err := readFile(getenv)
 	if err != nil {
-		return "", err
+		return nil, err
+	}
+	// Where we listen stays, and the file need not say it.
+	f.Listen, f.Operator = inForce.Listen, inForce.Operator
+	c, err := f.config()
+	if err != nil {
+		return nil, err
+	}
+	c.AcceptFD = inForce.AcceptFD
+	if c.Settings.MaxAttempts <= 0 && inForce.Settings.MaxAttempts > 0 {
+		return nil, fmt.Errorf("settings: caps.max_attempts: %d is not above 0", c.Settings.MaxAttempts)
+	}
+	var before, after any
+	if err := errors.Join(json.Unmarshal(inForce.raw, &before), json.Unmarshal(c.raw, &after)); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if key := missing("settings", before, after); key != "" {
+		return nil, fmt.Errorf("%s: missing or of another form than before", key)
+	}
+	return c, nil
+}
+
+// mayLack are keys of the settings that may come and go.
+var mayLack = map[string]bool{"aim_stretch": true, "passes_deadline": true, "warm_keys": true, "fleet": true}
+
+// missing names the first key that the old object has and the new one lacks, or holds in
+// another form. Entries of a list must each have the keys that all old entries share.
+func missing(at string, old, now any) string {
+	switch old := old.(type) {
+	case map[string]any:
+		now, ok := now.(map[string]any)
+		if !ok {
+			return at
+		}
+		for _, key := range slices.Sorted(maps.Keys(old)) {
+			if mayLack[key] {
+				continue
+			}
+			v, ok := now[key]
+			if !ok {
+				return at + "." + key
+			}
+			if m := missing(at+"."+key, old[key], v); m != "" {
+				return m
+			}
+		}
+	case []any:
+		now, ok := now.([]any)
+		if !ok {
+			return at
+		}
+		shared := sharedKeys(old)
+		for i, e := range now {
+			if m := missing(fmt.Sprintf("%s[%d]", at, i), shared, e); m != "" {
+				return m
+			}
+		}
+	case float64:
+		if _, ok := now.(float64); !ok {
+			return at
+		}
+	case string:
+		if _, ok := now.(string); !ok {
+			return at
+		}
+	case bool:
+		if _, ok := now.(bool); !ok {
+			return at
+		}
+	}
+	return ""
+}
+
+// sharedKeys is an object of the keys that all entries have, or nil where they are no
+// objects.
+func sharedKeys(list []any) any {
+	var shared map[string]any
+	for i, e := range list {
+		entry, ok := e.(map[string]any)
+		if !ok {
+			return nil
+		}
+		if i == 0 {
+			shared = maps.Clone(entry)
+		}
+		maps.DeleteFunc(shared, func(key string, _ any) bool { _, ok := entry[key]; return !ok })
+	}
+	if shared == nil {
+		return nil
 	}
-	return f.Discovery, checkAddr("discovery", f.Discovery)
+	return shared
 }
 
 func readFile(getenv func(string) string) (*file, error) {
@@ -179,6 +286,7 @@
 	if _, err := lynxspool.New(c.Settings, c.Seed); err != nil {
 		return nil, err // it names the field
 	}
+	c.raw = f.Settings
 	var n names
 	if err := json.Unmarshal(f.Settings, &n); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
--- a/internal/gateway/config_test.go
+++ b/internal/gateway/config_test.go
@@ -88,3 +88,64 @@
 		t.Errorf("no file: error %v", err)
 	}
 }
+
+// A file with any fault must be refused as a whole, with its reason; a key that is gone
+// must not pass for its default. Keys that may come and go, and values, are no faults.
+func TestReloadRefusesWhatIsBroken(t *testing.T) {
+	good := strings.Replace(goodConfig, `"dial_timeout":250000`, `"dial_timeout":250000,"max_attempts":6`, 1)
+	good = strings.Replace(good, `"hard_limit":1000000}]`, `"hard_limit":1000000,"aim_stretch":2}]`, 1)
+	inForce, err := load(t, good, "GW_LISTEN", "127.0.0.9:9000")
+	if err != nil {
+		t.Fatal(err)
+	}
+	reload := func(text string) (*Config, error) {
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return Reload(func(name string) string { return map[string]string{"GW_CONFIG": path}[name] }, inForce)
+	}
+	swap := func(from, to string) string {
+		if !strings.Contains(good, from) {
+			t.Fatalf("the configuration lacks %s", from)
+		}
+		return strings.Replace(good, from, to, 1)
+	}
+	for _, tt := range []struct{ name, text, want string }{
+		{"empty", "", "JSON"},
+		{"cut off", good[:len(good)-40], "JSON"},
+		{"no object", "null", "discovery"},
+		{"no settings", swap(`"settings":`, `"setting":`), "settings"},
+		{"no classes", swap(`"classes":[`, `"klasses":[`), "classes"},
+		{"no name", swap(`{"name":"look",`, `{`), "name"},
+		{"no deadline", swap(`,"hard_limit":1000000}`, `}`), "deadline"},
+		{"deadline of 0", swap(`"hard_limit":1000000}`, `"hard_limit":0}`), "deadline"},
+		{"deadline below 0", swap(`"hard_limit":1000000}`, `"hard_limit":-1}`), "deadline"},
+		{"attempts of 0", swap(`"max_attempts":6`, `"max_attempts":0`), "max_attempts"},
+		{"attempts below 0", swap(`"max_attempts":6`, `"max_attempts":-2`), "max attempts"},
+		{"no attempts", swap(`,"max_attempts":6`, ``), "max_attempts"},
+		{"no caps", swap(`"caps":`, `"cups":`), "caps"},
+		{"no effect", swap(`"effect":"idempotent",`, ``), "effect"},
+		{"odd effect", swap(`"idempotent"`, `"harmless"`), "effect"},
+		{"no tenants", swap(`"tenants":[{"name":"acme","quota_per_s":10}],`, ``), "tenants"},
+		{"no quota", swap(`,"quota_per_s":10`, ``), "tenants[0].quota_per_s"},
+		{"a number for a list", swap(`"azs":["a"]`, `"azs":1`), "azs"},
+		{"no discovery", swap(`"discovery":"127.0.0.2:8500",`, ``), "discovery"},
+	} {
+		if c, err := reload(tt.text); err == nil {
+			t.Errorf("%s: taken as %+v", tt.name, c.Rules)
+		} else if !strings.Contains(err.Error(), tt.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: said %q, want a line with %q", tt.name, err, tt.want)
+		}
+	}
+	more := `{"name":"haul","effect":"at_most_once","hard_limit":9000000,"promise":1000000}`
+	c, err := reload(strings.Replace(swap(`{"name":"look","effect":"idempotent","hard_limit":1000000}`, more),
+		`"max_attempts":6`, `"max_attempts":2`, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, dropped := c.Classes["look"]; dropped || c.Classes["haul"] != 0 || c.Settings.MaxAttempts != 2 ||
+		c.Settings.Classes[0].Deadline != 9*time.Second || c.Listen != "127.0.0.9:9000" {
+		t.Errorf("%+v", c)
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -34,14 +34,16 @@
 	second := time.Second
 	cfg := &Config{
 		Sockets: 1024, ConnIdle: time.Minute, DialTimeout: patience, Seed: 7,
-		Classes: map[string]int{"look": 0, "book": 1, "report": 2},
-		Zones:   map[string]int{}, Kinds: map[string]int{},
-		Settings: lynxspool.Settings{
-			Instances: 1, MaxAttempts: 4, Cancel: true, MaxRetryAfter: second, Step: 5 * time.Millisecond,
-			Classes: []lynxspool.Class{
-				{Aim: 10 * second, Deadline: 60 * second},
-				{Aim: 10 * second, Deadline: 60 * second, Effect: lynxspool.Unsafe},
-				{Aim: 10 * second, Deadline: 60 * second, Effect: lynxspool.Keyed, Window: 30 * second},
+		Zones: map[string]int{}, Kinds: map[string]int{},
+		Rules: Rules{
+			Classes: map[string]int{"look": 0, "book": 1, "report": 2},
+			Settings: lynxspool.Settings{
+				Instances: 1, MaxAttempts: 4, Cancel: true, MaxRetryAfter: second, Step: 5 * time.Millisecond,
+				Classes: []lynxspool.Class{
+					{Aim: 10 * second, Deadline: 60 * second},
+					{Aim: 10 * second, Deadline: 60 * second, Effect: lynxspool.Unsafe},
+					{Aim: 10 * second, Deadline: 60 * second, Effect: lynxspool.Keyed, Window: 30 * second},
+				},
 			},
 		},
 	}
@@ -524,3 +526,57 @@
 		t.Errorf("%+v, %v", list, err)
 	}
 }
+
+// After a change of the settings requests come under the new classes, on connections and
+// hosts that stay as they are; a class that is no more is answered 400.
+func TestRetune(t *testing.T) {
+	server := newHost(t, says(errored))
+	g := startGateway(t, testConfig(server))
+	next := g.cfg.Rules
+	next.Settings.Classes = []lynxspool.Class{
+		{Aim: 10 * time.Second, Deadline: 60 * time.Second, Effect: lynxspool.Unsafe},
+		{Aim: 10 * time.Second, Deadline: 60 * time.Second, Effect: lynxspool.Unsafe},
+	}
+	next.Classes = map[string]int{"look": 0, "haul": 1}
+	if resp, _ := g.ask("haul", "/api/1", "b"); resp.StatusCode != 400 {
+		t.Errorf("status %d for a class yet to come", resp.StatusCode)
+	}
+	g.loop.Retune(&next)
+	g.loop.sync()
+	if resp, _ := g.ask("book", "/api/1", "b"); resp.StatusCode != 400 {
+		t.Errorf("status %d for a class that is gone", resp.StatusCode)
+	}
+	if resp, _ := g.ask("haul", "/api/1", "b"); resp.StatusCode != 502 {
+		t.Errorf("status %d for a new class", resp.StatusCode)
+	}
+	g.ask("look", "/api/1", "") // it was safe to repeat
+	if requests, _, _ := server.counts(); requests != 2 {
+		t.Errorf("the host got %d requests, want each once", requests)
+	}
+}
+
+// The rules may change between the head of a request and its last byte: it is told to
+// the module by what it is under those in force then.
+func TestRetuneUnderARequest(t *testing.T) {
+	g := startGateway(t, testConfig(newHost(t, says(good))))
+	next := g.cfg.Rules
+	next.Settings.Classes = []lynxspool.Class{g.cfg.Settings.Classes[1]}
+	next.Classes = map[string]int{"book": 0}
+	for class, want := range map[string]answerKind{"book": served, "look": rejected} {
+		x := newExchange("b")
+		x.header.Set("X-Priority-Class", class)
+		if err := x.resolve(&g.cfg.Rules); err != nil {
+			t.Fatal(err)
+		}
+		g.loop.Retune(&next)
+		g.loop.Submit(x)
+		select {
+		case a := <-x.answer:
+			if a.kind != want {
+				t.Errorf("%s: answer %v, want %v", class, a.kind, want)
+			}
+		case <-time.After(patience):
+			t.Fatalf("%s: no answer", class)
+		}
+	}
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -20,6 +20,7 @@
 	events chan func(now lynxspool.Time)
 	done   chan struct{} // closed when Run has returned
 	ready  atomic.Bool   // a host is known that takes requests
+	rules  atomic.Pointer[Rules]
 
 	// All below belongs to the goroutine of Run.
 	clock  clock
@@ -66,13 +67,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Loop{
+	l := &Loop{
 		events: make(chan func(lynxspool.Time), 1024), done: make(chan struct{}),
 		clock: clock{time.Now()}, bal: bal, pool: pool, watch: watch,
 		hosts: map[lynxspool.HostID]*host{}, open: map[lynxspool.RequestID]*exchange{},
 		zones: cfg.Zones, kinds: cfg.Kinds, named: map[string]bool{}, banned: map[string]bool{},
 		listed: make(chan struct{}),
-	}, nil
+	}
+	l.rules.Store(&cfg.Rules)
+	return l, nil
 }
 
 // Run handles events until ctx ends; then it ends all attempts.
@@ -114,6 +117,14 @@
 // x.answer unless x is finished otherwise.
 func (l *Loop) Submit(x *exchange) {
 	l.post(func(now lynxspool.Time) {
+		if rules := l.rules.Load(); rules != x.rules {
+			// They changed after its head was read. It came under those in force now, and
+			// the module knows the classes by their index there.
+			if err := x.resolve(rules); err != nil {
+				x.finish(answer{kind: rejected})
+				return
+			}
+		}
 		l.lastID++
 		x.id = l.lastID
 		l.open[x.id] = x
@@ -124,6 +135,17 @@
 	})
 }
 
+// Retune puts other rules into force. They have been checked.
+func (l *Loop) Retune(rules *Rules) {
+	l.post(func(now lynxspool.Time) {
+		if err := l.bal.Retune(now, rules.Settings); err != nil {
+			slog.Error("settings not changed", "err", err)
+			return
+		}
+		l.rules.Store(rules)
+	})
+}
+
 // Abandon says that a request was finished without the Balancer: nobody waits.
 func (l *Loop) Abandon(x *exchange) {
 	l.post(func(now lynxspool.Time) {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -57,6 +57,7 @@
 	header            http.Header
 	body              []byte
 
+	rules         *Rules // under which class and tenant are looked up
 	class, tenant int
 	repeat        bool
 	deadline      time.Time // when its answer is due
@@ -83,6 +84,7 @@
 	failed answerKind = iota
 	served
 	refused
+	rejected // as no proper request
 )
 
 // close ends an exchange and says whether it was still open: whoever closes it
@@ -98,11 +100,10 @@
 
 // Server is the side of the clients.
 type Server struct {
-	cfg     *Config
-	loop    *Loop
-	http    http.Server
-	longest time.Duration // deadline of any class
-	budget  int           // client connections beyond which idle ones are closed
+	cfg    *Config
+	loop   *Loop
+	http   http.Server
+	budget int // client connections beyond which idle ones are closed
 
 	rejects limitedLog
 
@@ -126,16 +127,13 @@
 		cfg: cfg, loop: loop, budget: cfg.Sockets * clientSockets / 100,
 		conns: map[net.Conn]connState{},
 	}
-	for _, c := range cfg.Settings.Classes {
-		s.longest = max(s.longest, c.Deadline)
-	}
 	s.http = http.Server{
 		Handler:           http.HandlerFunc(s.serve), // no ServeMux: it would clean paths and redirect
 		ConnState:         s.track,
 		ConnContext:       withFraming,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       requestTimeout,
-		WriteTimeout:      s.longest + writeTimeout,
+		WriteTimeout:      writeTimeout, // set anew with the answer
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHead, // a connection's share of the memory limit
 
@@ -167,7 +165,7 @@
 // be answered in time, as closing one may cross a request.
 func (s *Server) Stop() {
 	now := time.Now()
-	most := min(s.longest, exitDeadline)
+	most := min(s.loop.rules.Load().longest(), exitDeadline)
 	s.exitAt = now.Add(exitTime + most - stopMargin)
 	s.stopping.Store(true)
 	tick := time.NewTicker(10 * time.Millisecond)
@@ -324,6 +322,7 @@
 			a = <-x.answer
 		}
 	}
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	write(w, a)
 }
 
@@ -359,20 +358,10 @@
 	if r.Header.Get(headRequestID) == "" {
 		return bad("%s: missing", headRequestID)
 	}
-	var ok bool
-	if x.class, ok = s.cfg.Classes[r.Header.Get("X-Priority-Class")]; !ok {
-		return bad("X-Priority-Class: unknown class %q", r.Header.Get("X-Priority-Class"))
-	}
-	class := &s.cfg.Settings.Classes[x.class]
-	if len(s.cfg.Tenants) > 0 {
-		if x.tenant, ok = s.cfg.Tenants[r.Header.Get("X-Tenant-Id")]; !ok {
-			return bad("X-Tenant-Id: unknown tenant %q", r.Header.Get("X-Tenant-Id"))
-		}
-	}
-	if class.Effect == lynxspool.Keyed && r.Header.Get("Idempotency-Key") == "" {
-		// Without it no host would drop the repeat that the module may send.
-		return bad("Idempotency-Key: missing, the class needs one")
+	if err := x.resolve(s.loop.rules.Load()); err != nil {
+		return nil, http.StatusBadRequest, err
 	}
+	class := &x.rules.Settings.Classes[x.class]
 	left := class.Deadline
 	if v := r.Header.Get(headTimeout); v != "" {
 		seconds, err := strconv.ParseFloat(v, 64)
@@ -399,6 +388,26 @@
 	return x, 0, nil
 }
 
+// resolve looks up what the module needs under the rules, and keeps them. An error means
+// that the request is no proper one under them.
+func (x *exchange) resolve(rules *Rules) error {
+	var ok bool
+	if x.class, ok = rules.Classes[x.header.Get("X-Priority-Class")]; !ok {
+		return fmt.Errorf("X-Priority-Class: unknown class %q", x.header.Get("X-Priority-Class"))
+	}
+	if len(rules.Tenants) > 0 {
+		if x.tenant, ok = rules.Tenants[x.header.Get("X-Tenant-Id")]; !ok {
+			return fmt.Errorf("X-Tenant-Id: unknown tenant %q", x.header.Get("X-Tenant-Id"))
+		}
+	}
+	if rules.Settings.Classes[x.class].Effect == lynxspool.Keyed && x.header.Get("Idempotency-Key") == "" {
+		// Without it no host would drop the repeat that the module may send.
+		return errors.New("Idempotency-Key: missing, the class needs one")
+	}
+	x.rules = rules
+	return nil
+}
+
 // write gives a client its answer.
 func write(w http.ResponseWriter, a answer) {
 	switch a.kind {
@@ -414,6 +423,8 @@
 			w.Header().Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', -1, 64))
 		}
 		http.Error(w, "turned away, trying again is harmless", http.StatusServiceUnavailable)
+	case rejected:
+		http.Error(w, "the request is not proper under the settings in force", http.StatusBadRequest)
 	default:
 		http.Error(w, "failed, it may have been done", http.StatusBadGateway)
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -18,6 +18,7 @@
 	Discovery string
 	OverShare float64 `json:"over_share_worth"`
 	Classes   []struct {
+		Name       string
 		Promise    micros
 		HardLimit  micros `json:"hard_limit"`
 		Importance float64
@@ -90,7 +91,7 @@
 			return out, fmt.Errorf("settings: class %d: unknown group %q", i, c.Group)
 		}
 		out.Classes = append(out.Classes, lynxspool.Class{
-			Aim: c.Promise.span(), Deadline: c.HardLimit.span(), Worth: c.Importance,
+			Name: c.Name, Aim: c.Promise.span(), Deadline: c.HardLimit.span(), Worth: c.Importance,
 			Effect: effect, Group: group, Window: c.Window.span(),
 		})
 	}
--- a/state.go
+++ b/state.go
@@ -25,15 +25,15 @@
 	byID     map[HostID]*host
 	reqs     map[RequestID]*request
 	banned   map[HostID]bool // taken out by an operator, listed or not
+	classes  []*class
 	bands    []list[request] // waiting requests, most worth first
-	band     [][4]int
+	worths   []float64       // ... of each
 	queued   int
 	outNow   int // attempts out at the last sweep or sent since
 
 	aim     Time // shortest aim of any class
 	decay   float64
 	penalty float64
-	lat     []mean // RTT of good answers by class
 	all     mean   // ... of any class
 	kinds   []mean // ... as of a typical class, by kind of host
 	warm    mean   // rate of good answers of a warm host, a second
@@ -90,11 +90,21 @@
 	coldNext Time // earliest next send while cold
 }
 
+// class is a class of the settings with what is learnt of it. An open request holds on
+// to it, whatever the settings are by then.
+type class struct {
+	Class
+	lat   mean // RTT of good answers
+	bands [4]int
+}
+
 // request is a client request with its attempts; it is kept until it has its
 // answer and all its attempts have ended.
 type request struct {
 	Request
-	class    *Class
+	class    *class
+	part     int
+	attempts int // it may have
 	arrived  Time
 	deadline Time
 	expires  Time // while it waits: too late to be answered within the aim
