Test an upgrade of the real program under load

Two processes on one inherited socket, clients that keep connections and clients that do not; none may lose a request, and a host that is out stays out.

--- a/cmd/dunemoor/main_test.go
+++ b/cmd/dunemoor/main_test.go
@@ -361,3 +361,154 @@
 		t.Errorf("said %q, want one line that names the field", out)
 	}
 }
+
+// startBeside starts the program on a listening socket that it inherits.
+func startBeside(t *testing.T, config string, socket *os.File, tmp string) *program {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	operator := freeAddr(t)
+	p := &program{Cmd: exec.Command(os.Args[0]), url: "http://" + operator, exited: make(chan struct{})}
+	p.Env = append(os.Environ(), "DUNEMOOR_AS_PROGRAM=1", "GW_CONFIG="+path, "GW_LISTEN=127.0.0.1:1",
+		"GW_OPERATOR="+operator, "GW_ACCEPT_FD=3", "TMPDIR="+tmp)
+	p.ExtraFiles = []*os.File{socket} // descriptor 3 there
+	p.Stdout, p.Stderr = &p.out, &p.out
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		p.Wait()
+		close(p.exited)
+	}()
+	t.Cleanup(func() {
+		p.Process.Kill()
+		<-p.exited
+	})
+	return p
+}
+
+// operate makes a call to the operators' address.
+func (p *program) operate(method, path string) int {
+	r, err := http.NewRequest(method, p.url+path, nil)
+	if err != nil {
+		return 0
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// A new version starts beside the old one on the same socket, and the old one ends,
+// without a request lost, on connections that are kept as well as on new ones. A host
+// that was out stays out.
+func TestUpgradeUnderLoad(t *testing.T) {
+	var banned atomic.Int64
+	hosts := make([]*httptest.Server, 2)
+	for i := range hosts {
+		hosts[i] = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if i == 1 {
+				banned.Add(1)
+			}
+			time.Sleep(10 * time.Millisecond)
+			io.WriteString(w, "done")
+		}))
+		defer hosts[i].Close()
+	}
+	ln, err := net.Listen("tcp", freeAddr(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	socket, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	d := newDiscovery(t)
+	text := strings.Replace(config(strings.TrimPrefix(hosts[0].URL, "http://"), strings.TrimPrefix(hosts[1].URL, "http://")),
+		"127.0.0.1:1", d.addr(), 1)
+	tmp := t.TempDir()
+	healthy := func(p *program) {
+		t.Helper()
+		for end := time.Now().Add(patience); p.operate("GET", "/healthcheck") != 200; time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("the program does not get ready: %s", p.out.String())
+			}
+		}
+	}
+	old := startBeside(t, text, socket, tmp)
+	<-d.watched
+	d.lines <- `{"version":2,"full":false,"servers":[]}`
+	healthy(old)
+	if status := old.operate("PUT", "/hosts/s-1/maint"); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	before := banned.Load()
+	url := "http://" + ln.Addr().String()
+	var served atomic.Int64
+	done := make(chan struct{})
+	var clients sync.WaitGroup
+	for i := range 4 {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			client := http.Client{Transport: &http.Transport{DisableKeepAlives: i%2 == 0}, Timeout: patience}
+			for n := 0; ; n++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				r, _ := http.NewRequest(http.MethodPost, url+"/api/1", strings.NewReader("body"))
+				r.Header.Set("X-Priority-Class", "book")
+				r.Header.Set("X-Request-ID", fmt.Sprint(i, "-", n))
+				resp, err := client.Do(r)
+				if err != nil {
+					t.Errorf("lost: %v", err)
+					return
+				}
+				if text, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 200 {
+					t.Errorf("answer %d %q, %v", resp.StatusCode, text, err)
+				}
+				resp.Body.Close()
+				served.Add(1)
+			}
+		}()
+	}
+	more := func() {
+		from := served.Load()
+		for end := time.Now().Add(patience); served.Load() < from+20 && time.Now().Before(end); {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	more()
+	next := startBeside(t, text, socket, tmp)
+	more()
+	healthy(next) // with no word from discovery it waits for a while, and then goes by its file
+	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	more()
+	select {
+	case <-old.exited:
+	case <-time.After(patience):
+		t.Fatal("the old process does not end")
+	}
+	if code := old.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("exit code %d: %s", code, old.out.String())
+	}
+	more()
+	close(done)
+	clients.Wait()
+	if got := banned.Load(); got != before {
+		t.Errorf("the host that is out got %d requests", got-before)
+	}
+	if status := next.operate("PUT", "/hosts/s-1/ready"); status != 200 {
+		t.Errorf("status %d", status)
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -580,3 +580,27 @@
 		}
 	}
 }
+
+// A process that shares its listener accepts once discovery has spoken; what it knew
+// before may be old.
+func TestListedOnceDiscoveryHasSpoken(t *testing.T) {
+	g := startGateway(t, testConfig(newHost(t, says(good))))
+	heard := func() bool {
+		g.loop.sync()
+		select {
+		case <-g.loop.Listed():
+			return true
+		default:
+			return false
+		}
+	}
+	g.loop.Members(lynxspool.ListFailed, MemberList{})
+	if heard() {
+		t.Error("the list of the file, or a failed call, counts as heard")
+	}
+	g.loop.Members(lynxspool.ListChanges, MemberList{})
+	g.loop.Members(lynxspool.ListChanges, MemberList{})
+	if !heard() {
+		t.Error("a list from discovery does not count as heard")
+	}
+}
