Stream long bodies and answers, and follow framing through pipelined requests

A pipelined request with chunks was refused, as its head was not watched.

Module: Request.Upload, Whole, Outcome.Spent; Started takes the attempt out of what its host is judged by. Ruled out: a pool of whole-body buffers (32 MB each).

--- a/api.go
+++ b/api.go
@@ -136,6 +136,7 @@
 	Tenant int           // index in Settings.Tenants
 	Left   time.Duration // until the client gives up on this try; 0: it is due now
 	Repeat bool          // the client marks it as a repeat
+	Upload bool          // it is sent as it comes; it has all its time from Whole on
 }
 
 // Result says how an attempt ended.
@@ -162,6 +163,7 @@
 	Result  Result
 	Elapsed time.Duration // since the Send
 	Closed  bool          // the client has its answer, nothing more is owed
+	Spent   bool          // part of the request is gone: it cannot be sent again
 }
 
 // ActionKind says what the gateway is asked to do.
--- a/balancer.go
+++ b/balancer.go
@@ -346,16 +346,44 @@
 	r.band = r.class.bands[r.part]
 	b.reqs[q.ID] = r
 	b.rate.add(now, b.rateSpan())
-	// Every request has a timer ahead of its deadline: an attempt that is still
-	// connecting then ends only later, too late to answer on its outcome.
-	b.wake(max(now, r.deadline-answerSteps*b.set.Step), tokenAnswer<<tokenShift|uint64(q.ID))
-	if now+answerSteps*b.set.Step >= r.deadline {
-		b.answer(r) // it came too late to be sent
+	if q.Upload {
+		r.deadline = now + maxTime // it has none until it is whole
+	} else if b.due(r); r.done {
 		return
 	}
 	b.place(r, false)
 }
 
+// due sets the timer that every request has ahead of its deadline: an attempt that is
+// still connecting then ends only later, too late to answer on its outcome. One that
+// came too late to be sent is answered.
+func (b *Balancer) due(r *request) {
+	b.wake(max(b.now, r.deadline-answerSteps*b.set.Step), tokenAnswer<<tokenShift|uint64(r.ID))
+	if b.now+answerSteps*b.set.Step >= r.deadline {
+		b.answer(r)
+	}
+}
+
+// Whole says that the last byte of a request that was sent as it came is with the host.
+// Its time begins here, and so does what its host is judged by.
+func (b *Balancer) Whole(now Time, id RequestID, left Time) {
+	b.now = now
+	r := b.reqs[id]
+	if r == nil || r.done || !r.Upload {
+		return
+	}
+	r.Upload, r.arrived = false, now
+	r.deadline = now + min(max(left, 0), r.class.Deadline)
+	for _, a := range r.atts {
+		if !a.ended {
+			a.sent = now
+			b.fly(a)
+		}
+	}
+	b.due(r)
+	b.sweepSoon()
+}
+
 // The parts of a class that wait in lines of their own.
 const (
 	overQuota = 1 << iota // beyond the tenant's quota
@@ -382,6 +410,24 @@
 	}
 	r.bound = true
 	b.cancelOthers(r, n)
+	// The host has answered; how long the client takes from here on is not its doing.
+	a := r.atts[n]
+	a.host.passed = max(a.host.passed, a.sent)
+	b.land(a)
+	b.readmit(a.host)
+}
+
+// fly enters an attempt among those that its host is judged by, and land takes it out.
+func (b *Balancer) fly(a *attempt) {
+	a.link.item, a.flying = a, true
+	a.host.flight.pushBack(&a.link)
+}
+
+func (b *Balancer) land(a *attempt) {
+	if a.flying {
+		a.flying = false
+		a.host.flight.remove(&a.link)
+	}
 }
 
 // Outcome is the end of an attempt.
@@ -395,7 +441,8 @@
 	a.ended, a.result = true, o.Result
 	r.out--
 	a.host.pending--
-	a.host.flight.remove(&a.link)
+	b.land(a)
+	r.spent = r.spent || o.Spent
 	b.observe(a, max(o.Elapsed, 0).Seconds())
 	b.settle(r, a, o.Closed)
 	b.forget(a.host)
@@ -722,8 +769,9 @@
 	r.atts = append(r.atts, a)
 	r.out++
 	h.pending++
-	a.link.item = a
-	h.flight.pushBack(&a.link)
+	if !r.Upload {
+		b.fly(a)
+	}
 	if h.cold {
 		b.paceCold(h)
 	}
@@ -890,7 +938,7 @@
 // mayRetry says whether the request gets another attempt. The in-flight limits
 // keep repeats from feeding an overload.
 func (b *Balancer) mayRetry(r *request) bool {
-	if r.bound || r.rejected() || len(r.atts) >= r.attempts ||
+	if r.bound || r.spent || r.rejected() || len(r.atts) >= r.attempts ||
 		b.now+2*answerSteps*b.set.Step >= r.deadline {
 		return false
 	}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1723,3 +1723,70 @@
 		t.Errorf("settings without classes: %v, %d classes in force", err, len(g.b.classes))
 	}
 }
+
+// A request that is sent as it comes has its time, and its host is judged, from its last
+// byte on: until then a slow client is all that is slow.
+func TestUploadIsJudgedFromItsLastByte(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	g.serve(50, 2, func(HostID) time.Duration { return 10 * ms })
+	g.next++
+	id := g.next
+	g.b.Request(g.now, Request{ID: id, Class: 2, Left: time.Second, Upload: true})
+	g.drain()
+	g.sole(Send)
+	for _, a := range g.advance(10 * time.Second) { // ten deadlines
+		t.Errorf("while it comes: %v", a)
+	}
+	if h := g.b.byID[1]; h.fails != 0 || h.pending != 1 || h.flight.head != nil {
+		t.Errorf("fails %d, pending %d, judged by %v", h.fails, h.pending, h.flight.head)
+	}
+	g.b.Whole(g.now, id, time.Second)
+	g.drain()
+	if g.b.byID[1].flight.head == nil {
+		t.Error("the host is not judged by a request that is whole")
+	}
+	began := g.now
+	var answered Time
+	for answered == 0 && g.now < began+2*time.Second {
+		for _, a := range g.advance(ms) {
+			if a.Kind == Fail {
+				answered = g.now
+			}
+		}
+	}
+	if took := answered - began; took < 900*ms || took > time.Second {
+		t.Errorf("answered %v after its last byte, want just ahead of its deadline of 1 s", took)
+	}
+}
+
+// What is spent cannot go out again, though it never ran.
+func TestSpentRequestIsRefused(t *testing.T) {
+	g := start(t, basic(), hosts(3)...)
+	g.b.Request(g.now, Request{ID: 1, Left: time.Second, Upload: true})
+	g.drain()
+	g.sole(Send)
+	g.b.Outcome(g.now, Outcome{Request: 1, Result: ConnectFailed})
+	g.drain()
+	g.sole(Send) // nothing was spent
+	g.b.Outcome(g.now, Outcome{Request: 1, Attempt: 1, Result: ConnectFailed, Spent: true})
+	g.drain()
+	g.sole(Refuse)
+}
+
+// A host whose answer has begun has answered: it is not silent however long the client
+// takes to read it.
+func TestStreamDoesNotMakeAHostSilent(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	g.serve(50, 0, func(HostID) time.Duration { return 10 * ms })
+	id := g.request(0, time.Second)
+	g.advance(10 * ms)
+	g.b.Started(g.now, id, 0)
+	g.drain()
+	if done := g.advance(10 * time.Second); len(done) != 0 || g.b.byID[1].fails != 0 {
+		t.Errorf("actions %v, fails %d", done, g.b.byID[1].fails)
+	}
+	g.outcome(id, 0, OK, 10*ms)
+	if h := g.b.byID[1]; h.pending != 0 || len(g.b.reqs) != 0 {
+		t.Errorf("pending %d, %d requests", h.pending, len(g.b.reqs))
+	}
+}
--- /dev/null
+++ b/internal/gateway/bulk_test.go
@@ -0,0 +1,394 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lynxspool"
+)
+
+// text is n bytes that do not repeat soon, so that none can go astray unseen.
+func text(n int) []byte {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = byte(i>>16 ^ i>>8*7 ^ i*31)
+	}
+	return b
+}
+
+// httpHost is a host served by net/http, for bodies of any length.
+func httpHost(t *testing.T, serve http.HandlerFunc) *testHost {
+	t.Helper()
+	s := httptest.NewServer(serve)
+	t.Cleanup(s.Close)
+	t.Cleanup(s.CloseClientConnections)
+	return &testHost{Listener: s.Listener}
+}
+
+// Bodies of any length arrive at the host as they were, however they are framed; the
+// gateway keeps little of them meanwhile.
+func TestLongBodies(t *testing.T) {
+	var got atomic.Value
+	host := httpHost(t, func(w http.ResponseWriter, r *http.Request) {
+		sum := sha256.New()
+		n, err := io.Copy(sum, r.Body)
+		got.Store(fmt.Sprintf("%d %v %x %v", n, err, sum.Sum(nil), r.Header.Get("X-Request-ID")))
+		io.WriteString(w, "good")
+	})
+	g := startGateway(t, testConfig(host))
+	for _, n := range []int{maxSmall - 1, maxSmall, maxSmall + 1, 1 << 20, maxBody} {
+		body := text(n)
+		want := fmt.Sprintf("%d <nil> %x id-1", n, sha256.Sum256(body))
+		for _, framing := range []string{"length", "chunked", "expect"} {
+			r, _ := http.NewRequest("POST", g.url+"/api/1", bytes.NewReader(body))
+			r.Header.Set("X-Priority-Class", "book")
+			r.Header.Set("X-Request-ID", "id-1")
+			switch framing {
+			case "chunked":
+				r.ContentLength = -1
+			case "expect":
+				r.Header.Set("Expect", "100-continue")
+			}
+			resp, err := (&http.Transport{DisableKeepAlives: true, ExpectContinueTimeout: patience}).RoundTrip(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			answer, _ := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if resp.StatusCode != 200 || string(answer) != "good" || got.Load() != want {
+				t.Errorf("%d bytes, %s: answer %d %q, the host got %v, want %s", n, framing, resp.StatusCode, answer, got.Load(), want)
+			}
+		}
+	}
+	until(t, "what was kept is given back", func() bool { return g.loop.pool.kept.left.Load() == newBudget(g.cfg).left.Load() })
+}
+
+// Long answers reach the client as they were in every form a host may give them, and
+// begin before they have come whole.
+func TestLongAnswers(t *testing.T) {
+	long := text(3 << 20)
+	var chunks bytes.Buffer
+	for rest := long; len(rest) > 0; {
+		n := min(len(rest), 100_000)
+		fmt.Fprintf(&chunks, "%x;ext=\"a\"\r\n%s\r\n", n, rest[:n])
+		rest = rest[n:]
+	}
+	for name, head := range map[string]string{
+		"length":       fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(long)),
+		"chunked":      "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n",
+		"by its close": "HTTP/1.1 200 OK\r\n\r\n",
+		"old":          "HTTP/1.0 200 OK\r\n\r\n",
+	} {
+		begun := make(chan struct{})
+		host := newHost(t, func(c net.Conn, _ *http.Request, _ int) bool {
+			body := long
+			if name == "chunked" {
+				body = append(bytes.Clone(chunks.Bytes()), "0\r\nX-T: 1\r\n\r\n"...)
+			}
+			io.WriteString(c, head)
+			c.Write(body[:200_000])
+			select {
+			case <-begun: // by the client, with the rest still here
+			case <-time.After(patience):
+				return false
+			}
+			c.Write(body[200_000:])
+			return name == "length" || name == "chunked"
+		})
+		g := startGateway(t, testConfig(host))
+		r, _ := http.NewRequest("GET", g.url+"/api/1", nil)
+		r.Header.Set("X-Priority-Class", "look")
+		r.Header.Set("X-Request-ID", "id-1")
+		resp, err := (&http.Transport{}).RoundTrip(r)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		first := make([]byte, 1000)
+		if _, err := io.ReadFull(resp.Body, first); err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		close(begun)
+		rest, err := io.ReadAll(resp.Body)
+		if err != nil || !bytes.Equal(append(first, rest...), long) {
+			t.Errorf("%s: %v, %d bytes of %d", name, err, len(first)+len(rest), len(long))
+		}
+		until(t, name+": the request is over", func() bool { return g.openRequests() == 0 })
+		kept := 0
+		if name == "length" || name == "chunked" {
+			kept = 1
+		}
+		if open, _ := g.loop.pool.counts(g.loop.hosts[hostID("s-0")]); open != kept {
+			t.Errorf("%s: %d connections to the host, want %d", name, open, kept)
+		}
+	}
+}
+
+// A short answer that is told by the end of its connection is an answer.
+func TestShortAnswerToldByItsClose(t *testing.T) {
+	for name, text := range map[string]string{"1.1": "HTTP/1.1 200 OK\r\n\r\ngood", "1.0": "HTTP/1.0 200 OK\r\n\r\ngood"} {
+		host := newHost(t, func(c net.Conn, _ *http.Request, _ int) bool {
+			io.WriteString(c, text)
+			return false
+		})
+		g := startGateway(t, testConfig(host))
+		if resp, body := g.ask("book", "/api/1", "b"); resp.StatusCode != 200 || body != "good" {
+			t.Errorf("%s: answer %d %q", name, resp.StatusCode, body)
+		}
+	}
+}
+
+// An answer that is not whole soon is passed on as it comes.
+func TestSlowAnswerIsNotHeldBack(t *testing.T) {
+	release := make(chan struct{})
+	host := newHost(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\ngo\r\n")
+		<-release
+		io.WriteString(c, "2\r\nod\r\n0\r\n\r\n")
+		return true
+	})
+	g := startGateway(t, testConfig(host))
+	r, _ := http.NewRequest("GET", g.url+"/api/1", nil)
+	r.Header.Set("X-Priority-Class", "look")
+	r.Header.Set("X-Request-ID", "id-1")
+	resp, err := (&http.Transport{}).RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := make([]byte, 2)
+	io.ReadFull(resp.Body, first)
+	close(release)
+	if rest, err := io.ReadAll(resp.Body); err != nil || string(first)+string(rest) != "good" {
+		t.Errorf("got %q and %q, %v", first, rest, err)
+	}
+}
+
+// An answer that breaks off on its way is passed on so that the client can tell, and is
+// not asked for again.
+func TestLongAnswerBreaksOff(t *testing.T) {
+	for name, head := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n40000\r\n",
+		"spoilt":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n",
+	} {
+		for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			host := newHost(t, func(c net.Conn, _ *http.Request, _ int) bool {
+				io.WriteString(c, head)
+				c.Write(text(100_000))
+				return false
+			})
+			g := startGateway(t, testConfig(host))
+			c, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			fmt.Fprintf(c, "GET /api %s\r\nHost: x\r\nX-Request-ID: i\r\nX-Priority-Class: look\r\n\r\n", proto)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if name == "spoilt" { // it is found ahead of the first byte
+				if err != nil || resp.StatusCode == 200 {
+					t.Errorf("%s %s: answer %v, %v", name, proto, resp, err)
+				}
+				continue
+			}
+			if err != nil || resp.StatusCode != 200 {
+				t.Fatalf("%s %s: answer %v, %v", name, proto, resp, err)
+			}
+			if body, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("%s %s: %d bytes pass for a whole answer", name, proto, len(body))
+			}
+			if requests, _, _ := host.counts(); requests != 1 {
+				t.Errorf("%s %s: the host got %d requests", name, proto, requests)
+			}
+		}
+	}
+}
+
+// Once its first byte went to the client no deadline cuts an answer, and what the client
+// takes its time for is not charged to the host.
+func TestNoDeadlineCutsAStream(t *testing.T) {
+	p := newTestPool()
+	began, end := make(chan struct{}), make(chan struct{})
+	host := newHost(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nx")
+		<-end
+		c.Write(text(99_999))
+		return true
+	})
+	h, x, tr := pooled(p, host.addr()), newExchange("b"), newTry()
+	ctx, cancel := context.WithCancelCause(context.Background())
+	tr.cancel = cancel
+	tr.begun = func() { close(began) }
+	done := make(chan lynxspool.Result, 1)
+	go func() {
+		result, _ := p.attempt(ctx, h, x, tr)
+		done <- result
+	}()
+	<-began
+	took := tr.took
+	tr.end(errStopped) // as the deadline would
+	close(end)
+	a := <-x.answer
+	w := httptest.NewRecorder()
+	a.stream.done <- a.stream.pass(deadlines{w}, httptest.NewRequest("GET", "/", nil))
+	if result := <-done; result != lynxspool.OK || w.Body.Len() != 100_000 {
+		t.Errorf("result %v, %d bytes", result, w.Body.Len())
+	}
+	if tr.took != took || took == 0 {
+		t.Errorf("the host is charged %v, %v at the first byte", tr.took, took)
+	}
+}
+
+// A request whose body is spent goes nowhere else; one whose body is not may.
+func TestSpentBodyIsNotSentAgain(t *testing.T) {
+	var got atomic.Int64
+	whole := httpHost(t, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		got.Add(1)
+		w.Header().Set("X-Not-Processed", "1")
+		w.WriteHeader(503)
+	})
+	g := startGateway(t, testConfig(whole, whole))
+	long := string(text(1 << 20))
+	if resp, _ := g.ask("book", "/api/1", long); resp.StatusCode != 503 || got.Load() != 1 {
+		t.Errorf("status %d after %d attempts, want a refusal after one", resp.StatusCode, got.Load())
+	}
+	if resp, _ := g.ask("book", "/api/1", "b"); resp.StatusCode != 503 || got.Load() < 3 {
+		t.Errorf("status %d after %d attempts of a short one, want several", resp.StatusCode, got.Load()-1)
+	}
+	// No connection comes up at one host: nothing is spent by that.
+	closed := listen(t, "127.0.0.1:0", nil)
+	closed.Close()
+	good := httpHost(t, func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		fmt.Fprint(w, n)
+	})
+	g = startGateway(t, testConfig(&testHost{Listener: closed}, good))
+	for range 10 {
+		if resp, body := g.ask("book", "/api/1", long); resp.StatusCode != 200 || body != "1048576" {
+			t.Fatalf("answer %d %q", resp.StatusCode, body)
+		}
+	}
+}
+
+// A body that stops coming, is too long or is badly framed ends its request with an error,
+// and never becomes one to a host.
+func TestLongBodyThatDoesNotCome(t *testing.T) {
+	host := newHost(t, says(good))
+	g := startGateway(t, testConfig(host))
+	piece := "8000\r\n" + strings.Repeat("x", 0x8000) + "\r\n"
+	for _, tt := range []struct {
+		name, text string
+		want       int
+	}{
+		{"bad chunk", head("POST /api HTTP/1.1", "a", chunked) + strings.Repeat(piece, 4) + "zz\r\n", 400},
+		{"told too long", head("POST /api HTTP/1.1", "b", fmt.Sprintf("Content-Length: %d\r\n", maxBody+1)), 413},
+		{"too long", head("POST /api HTTP/1.1", "c", chunked) + strings.Repeat(piece, maxBody/0x8000+2), 413},
+		{"stalls", head("POST /api HTTP/1.1", "d", "Content-Length: 200000\r\n") + "x", 400},
+		{"stalls in a chunk", head("POST /api HTTP/1.1", "e", chunked) + strings.Repeat(piece, 3) + "8000\r\nx", 400},
+	} {
+		if got := g.talk(tt.text); len(got) != 1 || got[0] != tt.want {
+			t.Errorf("%s: answers %v, want a single %d", tt.name, got, tt.want)
+		}
+	}
+	if requests, _, _ := host.counts(); requests != 0 {
+		t.Errorf("the host got %d whole requests", requests)
+	}
+	until(t, "all requests are over", func() bool { return g.openRequests() == 0 })
+}
+
+// Requests that come ahead of the last answer are served in turn, and their heads are
+// watched like any other, whatever form their bodies have and wherever the bytes are cut.
+func TestPipelinedRequests(t *testing.T) {
+	host := newHost(t, says(good))
+	g := startGateway(t, testConfig(host))
+	body := "2;a=b\r\nbo\r\n2\r\ndy\r\n0\r\nX-Trailer: 1\r\n\r\n"
+	long := strings.ReplaceAll(string(text(100_000)), "|", "-") // talk cuts there
+	all := head("POST /api HTTP/1.1", "1", chunked) + body +
+		head("POST /api HTTP/1.1", "2", "Content-Length: 4\r\n") + "body" +
+		head("POST /api HTTP/1.1", "3", chunked) + body +
+		head("POST /api HTTP/1.1", "4", "Content-Length: 100000\r\n") + long +
+		head("POST /api HTTP/1.1", "5", chunked) + body
+	if got := fmt.Sprint(g.talk(all + head("GET /_health HTTP/1.1", "6", "Connection: close\r\n"))); got != "[200 200 200 200 200 200]" {
+		t.Errorf("answers %v", got)
+	}
+	hidden := head("POST /api HTTP/1.1", "hidden", "Connection: close\r\nContent-Length: 0\r\n")
+	bad := head("POST /api HTTP/1.1", "7", chunked+"Content-Length: 5\r\n") + "0\r\n\r\n" + hidden
+	if got := fmt.Sprint(g.talk(all + bad)); got != "[200 200 200 200 200 400]" {
+		t.Errorf("answers %v", got)
+	}
+	host.mu.Lock()
+	defer host.mu.Unlock()
+	for i, r := range host.requests {
+		want := "body"
+		if r.Header.Get("X-Request-ID") == "4" {
+			want = long
+		}
+		if host.bodies[i] != want {
+			t.Errorf("request %s came with %d bytes", r.Header.Get("X-Request-ID"), len(host.bodies[i]))
+		}
+	}
+	if len(host.requests) != 10 {
+		t.Errorf("the host got %d requests, want 10", len(host.requests))
+	}
+}
+
+// Wherever what comes is cut, the same heads are seen in it.
+func TestFramingInPieces(t *testing.T) {
+	all := "GET / HTTP/1.1\r\nHost: x\r\n\r\n" +
+		"\r\nPOST / HTTP/1.1\r\ncontent-LENGTH:  5 \r\n\r\nab\r\n\n" +
+		"POST / HTTP/1.1\nTransfer-Encoding: chunked\n\nA;x\r\n0123456789\r\n0\r\nT: 1\r\n\r\n" +
+		"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc" +
+		"POST / HTTP/1.1\r\nTransfer-Encoding:\r\n chunked\r\n\r\n"
+	want := "[ 5 c 3 co]"
+	for size := 1; size <= len(all); size++ {
+		c := &framedConn{}
+		for rest := all; len(rest) > 0; {
+			n := min(size, len(rest))
+			c.follow([]byte(rest[:n]))
+			rest = rest[n:]
+		}
+		var got []string
+		for _, h := range c.heads {
+			s := h.length
+			if h.encoded {
+				s += "c"
+			}
+			if h.odd {
+				s += "o"
+			}
+			got = append(got, s)
+		}
+		if fmt.Sprint(got) != want {
+			t.Fatalf("in pieces of %d: heads %v, want %s", size, got, want)
+		}
+	}
+}
+
+// When the budget is spent, short bodies and answers are streamed, not refused.
+func TestBudgetSpent(t *testing.T) {
+	host := newHost(t, says(good))
+	g := startGateway(t, testConfig(host))
+	g.loop.pool.kept.left.Store(0)
+	if resp, body := g.ask("book", "/api/1", "b"); resp.StatusCode != 200 || body != "good" {
+		t.Errorf("answer %d %q", resp.StatusCode, body)
+	}
+	if left := g.loop.pool.kept.left.Load(); left != 0 {
+		t.Errorf("%d bytes given back that were not taken", left)
+	}
+}
+
+// deadlines takes the deadlines of a stream, which a recorder knows nothing of.
+type deadlines struct{ *httptest.ResponseRecorder }
+
+func (deadlines) SetWriteDeadline(time.Time) error { return nil }
--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -5,8 +5,10 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // net/http lets Transfer-Encoding override Content-Length and then removes the latter,
@@ -23,44 +25,168 @@
 	if err != nil {
 		return nil, err
 	}
-	return &framedConn{Conn: c}, nil
+	return &framedConn{Conn: c, head: requestHead{began: time.Now()}}, nil
 }
 
-// framedConn notes which framing headers the head of the present request has.
+// framedConn follows the framing of what its connection brings, from head to head.
 type framedConn struct {
 	net.Conn
 	closed atomic.Bool // by us, whatever may have been read from it
 
-	mu       sync.Mutex // net/http reads ahead while the handler runs
-	line     []byte     // start of the header line that is coming in
-	whole    bool       // the head has ended
-	length   bool       // it has a Content-Length
-	encoding bool       // ... a Transfer-Encoding
+	mu    sync.Mutex    // net/http reads ahead while the handler runs
+	heads []requestHead // of requests that no handler has yet, in their order
+	at    place
+	left  int64       // bytes of the body or chunk still to come
+	line  []byte      // start of the line that is coming in
+	long  bool        // ... which has been cut
+	head  requestHead // that is coming in
 }
 
-var (
-	lengthLine   = []byte("content-length:")
-	encodingLine = []byte("transfer-encoding:")
+// requestHead is what the head of a request says of its framing.
+type requestHead struct {
+	began   time.Time // its first byte, or the connection if it is the first there
+	started bool      // its first line has come
+	length  string    // Content-Length, "" for none
+	encoded bool      // it has a Transfer-Encoding
+	framing bool      // the last line was one of these
+	odd     bool      // it is not clear where the request ends
+}
+
+// place is where in a request the next byte belongs.
+type place int
+
+const (
+	inHead place = iota
+	inBody
+	inChunkSize
+	inChunk
+	inChunkEnd
+	inTrailer
+	lost // it is not clear; the connection ends behind the request
 )
 
+// lineMost is how much of a line is kept. A framing line that is longer is odd.
+const lineMost = 128
+
 func (c *framedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for in := p[:n]; len(in) > 0 && !c.whole; {
+	c.follow(p[:n])
+	return n, err
+}
+
+// follow takes in what has been read.
+func (c *framedConn) follow(in []byte) {
+	for len(in) > 0 && c.at != lost {
+		if c.at == inBody || c.at == inChunk {
+			n := min(c.left, int64(len(in)))
+			in = in[n:]
+			if c.left -= n; c.left > 0 {
+				return
+			}
+			if c.at == inChunk {
+				c.at = inChunkEnd
+			} else {
+				c.next()
+			}
+			continue
+		}
+		if c.at == inHead && c.head.began.IsZero() {
+			c.head.began = time.Now()
+		}
 		part, rest, ended := bytes.Cut(in, []byte("\n"))
 		in = rest
-		c.line = append(c.line, part[:min(len(part), len(encodingLine)-len(c.line))]...)
+		room := min(len(part), lineMost-len(c.line))
+		c.line = append(c.line, part[:room]...)
+		c.long = c.long || room < len(part)
 		if !ended {
-			break
+			return
 		}
-		line := bytes.ToLower(c.line)
-		c.length = c.length || bytes.HasPrefix(line, lengthLine)
-		c.encoding = c.encoding || bytes.HasPrefix(line, encodingLine)
-		c.whole = len(bytes.TrimSuffix(line, []byte("\r"))) == 0
-		c.line = c.line[:0]
+		c.whole(bytes.TrimSuffix(c.line, []byte("\r")))
+		c.line, c.long = c.line[:0], false
+	}
+}
+
+// next waits for another head.
+func (c *framedConn) next() { c.at, c.head = inHead, requestHead{} }
+
+// whole takes in a line.
+func (c *framedConn) whole(line []byte) {
+	switch c.at {
+	case inHead:
+		switch {
+		case len(line) > 0 && !c.head.started:
+			c.head.started = true
+		case len(line) > 0:
+			c.head.add(line, c.long)
+		case c.head.started: // an empty line ahead of a request is skipped
+			c.body()
+		}
+	case inChunkSize:
+		size, _, _ := bytes.Cut(line, []byte(";"))
+		n, err := strconv.ParseUint(string(bytes.TrimSpace(size)), 16, 62)
+		switch {
+		case err != nil:
+			c.at = lost // so net/http finds as well
+		case n == 0:
+			c.at = inTrailer
+		default:
+			c.at, c.left = inChunk, int64(n)
+		}
+	case inChunkEnd:
+		c.at = inChunkSize
+		if len(line) > 0 {
+			c.at = lost
+		}
+	case inTrailer:
+		if len(line) == 0 {
+			c.next()
+		}
+	}
+}
+
+// add takes in a header line.
+func (h *requestHead) add(line []byte, cut bool) {
+	if line[0] == ' ' || line[0] == '\t' { // it goes on with the last one
+		h.odd = h.odd || h.framing
+		return
+	}
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	length := bytes.EqualFold(bytes.TrimSpace(name), []byte("content-length"))
+	encoding := bytes.EqualFold(bytes.TrimSpace(name), []byte("transfer-encoding"))
+	if h.framing = length || encoding; h.framing {
+		h.odd = h.odd || cut
+	}
+	if length {
+		text := string(bytes.TrimSpace(value))
+		h.odd = h.odd || text == "" || h.length != "" && h.length != text
+		h.length = text
+	}
+	h.encoded = h.encoded || encoding
+}
+
+// body is the end of a head: what follows is its body or another head.
+func (c *framedConn) body() {
+	h := &c.head
+	h.odd = h.odd || h.encoded && h.length != ""
+	var err error
+	c.left = 0
+	if h.length != "" {
+		c.left, err = strconv.ParseInt(h.length, 10, 62)
+		h.odd = h.odd || err != nil || c.left < 0
+	}
+	c.heads = append(c.heads, *h)
+	switch {
+	case h.odd:
+		c.at = lost
+	case h.encoded:
+		c.at = inChunkSize
+	case c.left > 0:
+		c.at = inBody
+	default:
+		c.next()
 	}
-	return n, err
 }
 
 // Close marks the connection closed. One that is closed as idle may bring a request at
@@ -71,37 +197,28 @@
 	return c.Conn.Close()
 }
 
-// next says that the present request is over.
-func (c *framedConn) next() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.line, c.whole, c.length, c.encoding = c.line[:0], false, false, false
-}
-
 type framedKey struct{}
 
 func withFraming(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, framedKey{}, c)
 }
 
-// ambiguous says whether sender and gateway may disagree where a request ends. The head
-// of one that came ahead of the answer to the last was not watched whole: where it
-// matters, it counts as ambiguous.
-func ambiguous(r *http.Request) bool {
+// framing is called once for each request. It tells when the request began, and whether
+// it is clear to sender and gateway alike where it ends.
+func framing(r *http.Request) (began time.Time, clear bool) {
 	c, ok := r.Context().Value(framedKey{}).(*framedConn)
 	if !ok {
-		return true
+		return time.Now(), false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	encoded := c.encoding || len(r.TransferEncoding) > 0
-	switch {
-	case !r.ProtoAtLeast(1, 1):
-		return encoded || !c.whole
-	case encoded:
-		return c.length || !c.whole
+	if len(c.heads) == 0 {
+		return time.Now(), false // net/http sees a head where we see none
 	}
-	return false
+	h := c.heads[0]
+	c.heads = c.heads[1:]
+	// HTTP/1.0 has no Transfer-Encoding.
+	return h.began, !h.odd && !(h.encoded && !r.ProtoAtLeast(1, 1)) && h.encoded == (len(r.TransferEncoding) > 0)
 }
 
 // closed says whether the connection of a request was closed before its handler began.
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -5,10 +5,13 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
-	"net/url"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,7 +23,6 @@
 )
 
 const (
-	maxBody    = 64 << 10 // of a request or an answer
 	maxHead    = 64 << 10 // of an answer
 	idleShare  = 0.5      // of the hosts' idle limit that we keep a connection: its end must not cross a request
 	sweepEvery = time.Second
@@ -37,6 +39,7 @@
 	dialer  net.Dialer
 	maxIdle time.Duration
 	budget  int // connections at most, all hosts together
+	kept    *budget
 
 	mu   sync.Mutex
 	open int               // connections, in use, idle and being dialled
@@ -66,6 +69,7 @@
 	limit   *io.LimitedReader // guards against an answer without end
 	in      *bufio.Reader
 	idleAt  time.Time
+	since   time.Time // it belongs to the present attempt
 }
 
 // NewPool returns a Pool that keeps to the limits of cfg.
@@ -75,6 +79,7 @@
 		maxIdle: time.Duration(idleShare * float64(cfg.ConnIdle)),
 		budget:  cfg.Sockets * hostSockets / 100,
 		idle:    map[*host][]*conn{},
+		kept:    newBudget(cfg),
 	}
 }
 
@@ -198,6 +203,7 @@
 		p.idle[h] = list[:len(list)-1]
 		if c.quiet() {
 			p.mu.Unlock()
+			c.since = time.Now()
 			return c, nil
 		}
 		p.close(c)
@@ -216,7 +222,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	c.Conn = nc
+	c.Conn, c.since = nc, time.Now()
 	c.limit = &io.LimitedReader{R: nc}
 	c.in = bufio.NewReader(c.limit)
 	return c, nil
@@ -260,9 +266,48 @@
 	return err == nil && open
 }
 
+// try is one attempt as the loop sees it.
+type try struct {
+	cancel context.CancelCauseFunc
+	whole  func() // tells the loop that a body sent as it comes is with the host
+	begun  func() // ... that the answer is being passed on
+
+	from time.Time     // what the host is charged with runs from here
+	took time.Duration // ... for this long, if it does not run to the end
+
+	mu     sync.Mutex
+	over   bool
+	passes bool // the answer is being passed on: it cannot be called off any more
+}
+
+// end calls the attempt off.
+func (t *try) end(cause error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.passes {
+		t.over = true
+		t.cancel(cause)
+	}
+}
+
+// pass says that the client's answer begins, unless the attempt was called off or the
+// client has another answer.
+func (t *try) pass(x *exchange, a answer) bool {
+	t.mu.Lock()
+	won := !t.over && x.close()
+	t.passes = won
+	t.mu.Unlock()
+	if won {
+		t.took = time.Since(t.from)
+		x.answer <- a
+		t.begun()
+	}
+	return won
+}
+
 // attempt sends a request to a host once and says how that ended. ctx ends when the
 // attempt is to be given up, by its deadline or by being called off.
-func (p *Pool) attempt(ctx context.Context, h *host, x *exchange) (lynxspool.Result, answer) {
+func (p *Pool) attempt(ctx context.Context, h *host, x *exchange, t *try) (lynxspool.Result, answer) {
 	for {
 		c, err := p.get(ctx, h)
 		switch {
@@ -283,8 +328,8 @@
 			return lynxspool.NotSent, answer{}
 		}
 		reused := c.reused
-		result, a := p.exchange(ctx, c, x)
-		if result == lynxspool.ConnectFailed && reused && ctx.Err() == nil {
+		result, a := p.exchange(ctx, c, x, t)
+		if result == lynxspool.ConnectFailed && reused && ctx.Err() == nil && !x.spent() {
 			// It closed after the look and before the last byte: nothing ran, and
 			// that tells nothing of the host. Each round uses up one idle connection.
 			continue
@@ -295,15 +340,15 @@
 
 // unsent is the result of an attempt that was given up before its last byte.
 func unsent(ctx context.Context) lynxspool.Result {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return lynxspool.Canceled
 	}
 	return lynxspool.NotSent
 }
 
-// exchange writes the request to the connection and reads its answer. The last byte
-// goes out by the one Write: what fails before that never ran, after it it may have.
-func (p *Pool) exchange(ctx context.Context, c *conn, x *exchange) (lynxspool.Result, answer) {
+// exchange writes the request to the connection and reads its answer. What fails before
+// the last byte is written never ran, after it it may have.
+func (p *Pool) exchange(ctx context.Context, c *conn, x *exchange, t *try) (lynxspool.Result, answer) {
 	// Giving up an attempt is closing its connection.
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
 	keep := false
@@ -314,21 +359,30 @@
 			p.drop(c)
 		}
 	}()
-	out, err := x.encode()
+	early, err := c.write(x)
 	if err != nil {
-		return lynxspool.NotSent, answer{}
-	}
-	if n, err := c.Write(out); n < len(out) || err != nil {
 		switch {
-		case n == len(out):
-			return lynxspool.Reset, answer{}
+		case errors.Is(err, errClient):
+			// Answered by whoever reads the client; nothing ran, and the host is not to blame.
+			x.finish(answer{kind: rejected, err: err})
+			return lynxspool.NotSent, answer{}
 		case ctx.Err() != nil:
 			return unsent(ctx), answer{}
 		}
+		if x.upload != nil {
+			t.took = max(1, c.since.Sub(t.from)) // the rest is the client's time
+		}
 		return lynxspool.ConnectFailed, answer{}
 	}
 	wrote := time.Now()
-	status, a, keep, err := c.read(x.method)
+	if x.upload != nil && !early {
+		t.from = wrote
+		t.whole()
+	}
+	status, a, keep, err := c.read(x.method, p.kept)
+	if early {
+		keep = false // what it did not read of the request would follow
+	}
 	if err != nil && ctx.Err() != nil {
 		p.unheard(c.host, wrote)
 	}
@@ -337,18 +391,30 @@
 		p.mu.Lock()
 		c.host.heard = time.Now()
 		p.mu.Unlock()
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return lynxspool.TimedOut, answer{}
 	case ctx.Err() != nil:
 		return lynxspool.Canceled, answer{}
+	case early && broken(err):
+		return lynxspool.ConnectFailed, answer{}
 	case broken(err):
 		return lynxspool.Reset, answer{}
 	default:
 		return lynxspool.Failed, answer{} // the host has answered, if not as it should
 	}
 	switch {
+	case status == http.StatusOK && early:
+		a.drop()
+		return lynxspool.Failed, answer{} // it cannot have run what it has not got
+	case status == http.StatusOK && a.stream != nil:
+		var result lynxspool.Result
+		result, keep = c.pass(x, t, a, keep)
+		return result, answer{}
 	case status == http.StatusOK:
 		return lynxspool.OK, a
+	}
+	a.drop()
+	switch {
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
 		a.header.Get(headNotProcessed) == "1":
 		return lynxspool.Full, answer{}
@@ -358,6 +424,91 @@
 	return lynxspool.Failed, answer{}
 }
 
+// pass hands an answer that is still coming to the client's side, and waits for its end.
+func (c *conn) pass(x *exchange, t *try, a answer, keep bool) (lynxspool.Result, bool) {
+	if !t.pass(x, a) {
+		return lynxspool.Canceled, false
+	}
+	err := <-a.stream.done
+	c.SetReadDeadline(time.Time{})
+	switch {
+	case err == nil:
+		return lynxspool.OK, keep && c.in.Buffered() == 0
+	case err == errClientGone:
+		return lynxspool.Canceled, false
+	case broken(err):
+		return lynxspool.Reset, false
+	}
+	return lynxspool.Failed, false
+}
+
+// errClient marks what went wrong on the client's side while its body was passed on.
+var errClient = errors.New("the body did not arrive")
+
+// write sends the request, its last byte last. A body that is too long to be kept is
+// passed on as it comes; early says that the host has answered ahead of its end.
+func (c *conn) write(x *exchange) (early bool, err error) {
+	out := net.Buffers{x.encode()}
+	up := x.upload
+	if up == nil {
+		if len(x.body) > 0 {
+			out = append(out, x.body)
+		}
+		_, err := out.WriteTo(c.Conn)
+		return false, err
+	}
+	piece := func(p []byte) error {
+		if len(p) > 0 && up.length < 0 {
+			out = append(out, strconv.AppendInt(nil, int64(len(p)), 16), crlf, p, crlf)
+		} else if len(p) > 0 {
+			out = append(out, p)
+		}
+		c.SetWriteDeadline(time.Now().Add(hostStall))
+		defer c.SetWriteDeadline(time.Time{})
+		_, err := out.WriteTo(c.Conn)
+		out = nil
+		return err
+	}
+	if err := piece(x.body); err != nil {
+		return false, err
+	}
+	buf := pieces.Get().(*[pieceSize]byte)
+	defer pieces.Put(buf)
+	for {
+		if !c.quiet() {
+			return true, nil
+		}
+		up.spent = true
+		n, err := up.Read(buf[:])
+		if err != nil && err != io.EOF {
+			return false, fmt.Errorf("%w: %w", errClient, err)
+		}
+		if err == io.EOF {
+			// All of it has come, so its time begins.
+			x.deadline = time.Now().Add(x.left)
+		}
+		if err == io.EOF && up.length < 0 {
+			if err := piece(buf[:n]); err != nil {
+				return false, err
+			}
+			out = net.Buffers{lastChunk}
+			n = 0
+		}
+		if err := piece(buf[:n]); err != nil {
+			return false, err
+		}
+		if err == io.EOF {
+			close(up.whole)
+			return false, nil
+		}
+	}
+}
+
+var (
+	crlf      = []byte("\r\n")
+	lastChunk = []byte("0\r\n\r\n")
+)
+
 var errBadAnswer = errors.New("gateway: answer cannot be passed on")
 
 // broken says whether reading failed with the connection, which ended or broke, and not
@@ -367,10 +518,11 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
 }
 
-// read reads one whole answer and says whether the connection can carry another
-// request. An answer that is not sure to be whole is an error: it is not served.
-func (c *conn) read(method string) (status int, a answer, keep bool, err error) {
-	c.limit.N = maxHead + maxBody
+// read reads an answer and says whether the connection can carry another request. One
+// that is long, or is not whole soon after its head, comes as a stream. Any other that is
+// not sure to be whole is an error: it is not served.
+func (c *conn) read(method string, kept *budget) (status int, a answer, keep bool, err error) {
+	c.limit.N = maxHead
 	var resp *http.Response
 	for {
 		resp, err = http.ReadResponse(c.in, &http.Request{Method: method})
@@ -383,18 +535,75 @@
 			break // those below come ahead of the answer
 		}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	switch {
-	case c.limit.N <= 0 || len(body) > maxBody:
-		return 0, a, false, errBadAnswer // too long
-	case err != nil:
-		return 0, a, false, err
-	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
-		return 0, a, false, io.ErrUnexpectedEOF // nothing tells a whole body from a cut one
-	case c.in.Buffered() > 0:
-		return 0, a, false, errBadAnswer // more than it announced
-	}
-	return resp.StatusCode, answer{kind: served, header: resp.Header, body: body}, !resp.Close, nil
+	c.limit.N = math.MaxInt64
+	a = answer{kind: served, header: resp.Header}
+	if resp.StatusCode != http.StatusOK {
+		// Only its head tells anything; the rest is read for the next answer's sake.
+		switch n, err := io.CopyN(io.Discard, resp.Body, maxSmall+1); {
+		case n > maxSmall || err == io.EOF && c.in.Buffered() > 0:
+			return 0, answer{}, false, errBadAnswer // too long, or more than it announced
+		case err != io.EOF:
+			return 0, answer{}, false, err
+		}
+		return resp.StatusCode, a, !resp.Close, nil
+	}
+	st := &stream{conn: c, body: resp.Body, length: resp.ContentLength, done: make(chan error, 1)}
+	size := maxSmall
+	if st.length >= 0 && st.length < maxSmall {
+		size = int(st.length)
+	}
+	if st.length > maxSmall || !kept.take(size) {
+		// One byte at least has come when it begins: until then it can be repeated.
+		if _, err := c.in.Peek(1); err != nil {
+			return 0, a, false, err
+		}
+		a.stream = st
+		return resp.StatusCode, a, !resp.Close, nil
+	}
+	a.give = func() { kept.give(size) }
+	defer func() {
+		if err != nil {
+			a.drop()
+			a = answer{}
+		}
+	}()
+	soon := time.Now().Add(streamAfter)
+	buf := make([]byte, 0, min(size+1, 4<<10))
+	for {
+		if st.length < 0 && len(buf) > 0 && !c.more(soon) {
+			break
+		}
+		if len(buf) == cap(buf) {
+			buf = slices.Grow(buf, len(buf))
+		}
+		n, err := resp.Body.Read(buf[len(buf):min(cap(buf), maxSmall+1)])
+		buf = buf[:len(buf)+n]
+		switch {
+		case err == io.EOF && c.in.Buffered() > 0:
+			return 0, a, false, errBadAnswer // more than it announced
+		case err == io.EOF:
+			a.body = buf
+			return resp.StatusCode, a, !resp.Close, nil
+		case err != nil:
+			return 0, a, false, err
+		}
+		if len(buf) > maxSmall {
+			break
+		}
+	}
+	st.prefix, a.stream = buf, st
+	return resp.StatusCode, a, !resp.Close, nil
+}
+
+// more waits until there is more to read of an answer, and says whether there is by then.
+func (c *conn) more(until time.Time) bool {
+	if c.in.Buffered() > 0 {
+		return true
+	}
+	c.SetReadDeadline(until)
+	defer c.SetReadDeadline(time.Time{})
+	_, err := c.in.Peek(1)
+	return !errors.Is(err, os.ErrDeadlineExceeded) // any other error is found by who reads
 }
 
 // hopByHop are the headers that concern one connection only.
@@ -417,34 +626,30 @@
 	return out
 }
 
-// encode is the request as it goes to a host, with the time left as of now.
-func (x *exchange) encode() ([]byte, error) {
+// encode is the head of the request as it goes to a host, with the time left as of now.
+// Method, path and query go out just as they came.
+func (x *exchange) encode() []byte {
 	header := endToEnd(x.header)
-	left := max(0, time.Until(x.deadline))
-	header.Set(headTimeout, strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
-	if header.Get("User-Agent") == "" {
-		header.Set("User-Agent", "") // else Write puts in one of its own
+	left := x.left
+	if x.upload == nil {
+		left = max(0, time.Until(x.deadline))
 	}
-	r := &http.Request{
-		Method: x.method, URL: target(x.uri, x.url), Host: x.host, Header: header,
-		ContentLength: int64(len(x.body)), ProtoMajor: 1, ProtoMinor: 1,
+	header.Set(headTimeout, strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+	switch {
+	case x.upload != nil && x.upload.length < 0:
+		header.Set("Transfer-Encoding", "chunked")
+	case x.upload != nil:
+		header.Set("Content-Length", strconv.FormatInt(x.upload.length, 10))
+	case len(x.body) > 0 || x.method == http.MethodPost || x.method == http.MethodPut || x.method == http.MethodPatch:
+		header.Set("Content-Length", strconv.Itoa(len(x.body)))
 	}
-	if len(x.body) > 0 {
-		r.Body = io.NopCloser(bytes.NewReader(x.body))
+	target := x.uri
+	if !strings.HasPrefix(target, "/") {
+		target = x.url.RequestURI() // it came with the name of a host
 	}
 	var buf bytes.Buffer
-	err := r.Write(&buf)
-	return buf.Bytes(), err
-}
-
-// target makes Request.Write put out the path and query just as they came. A path
-// that starts with two slashes would be taken for a host's name if passed opaque.
-func target(uri string, parsed *url.URL) *url.URL {
-	if strings.HasPrefix(uri, "/") && !strings.HasPrefix(uri, "//") {
-		return &url.URL{Opaque: uri}
-	}
-	return &url.URL{
-		Path: parsed.Path, RawPath: parsed.RawPath,
-		RawQuery: parsed.RawQuery, ForceQuery: parsed.ForceQuery,
-	}
+	fmt.Fprintf(&buf, "%s %s HTTP/1.1\r\nHost: %s\r\n", x.method, target, x.host)
+	header.Write(&buf) // a bytes.Buffer takes all
+	buf.WriteString("\r\n")
+	return buf.Bytes()
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -121,16 +121,19 @@
 			// They changed after its head was read. It came under those in force now, and
 			// the module knows the classes by their index there.
 			if err := x.resolve(rules); err != nil {
-				x.finish(answer{kind: rejected})
+				x.finish(answer{kind: rejected, err: err})
 				return
 			}
 		}
 		l.lastID++
 		x.id = l.lastID
 		l.open[x.id] = x
+		left := x.left
+		if x.upload == nil {
+			left = max(0, l.clock.at(x.deadline)-now)
+		}
 		l.bal.Request(now, lynxspool.Request{
-			ID: x.id, Class: x.class, Tenant: x.tenant, Repeat: x.repeat,
-			Left: max(0, l.clock.at(x.deadline)-now),
+			ID: x.id, Class: x.class, Tenant: x.tenant, Repeat: x.repeat, Left: left, Upload: x.upload != nil,
 		})
 	})
 }
@@ -290,7 +293,7 @@
 			l.send(a)
 		case lynxspool.Cancel:
 			if x := l.open[a.Request]; x != nil && a.Attempt < len(x.attempts) {
-				x.attempts[a.Attempt]()
+				x.attempts[a.Attempt].end(context.Canceled)
 			}
 		case lynxspool.Refuse:
 			l.answer(a.Request, answer{kind: refused, retryAfter: a.After})
@@ -321,28 +324,47 @@
 	if at := l.clock.time(a.At); a.At > 0 && at.Before(until) {
 		until = at
 	}
-	ctx, cancel := context.WithDeadline(l.ctx, until)
+	ctx, cancel := context.WithCancelCause(l.ctx)
+	t := &try{cancel: cancel, from: time.Now()}
 	n := len(x.attempts)
-	x.attempts = append(x.attempts, cancel)
+	x.attempts = append(x.attempts, t)
 	x.out++
-	sent := time.Now()
+	timeOut := func() { t.end(context.DeadlineExceeded) }
+	var timer *time.Timer
+	if x.upload == nil {
+		timer = time.AfterFunc(time.Until(until), timeOut)
+	}
+	t.whole = func() {
+		timer = time.AfterFunc(time.Until(x.deadline), timeOut)
+		l.post(func(now lynxspool.Time) { l.bal.Whole(now, x.id, max(0, l.clock.at(x.deadline)-now)) })
+	}
+	t.begun = func() {
+		l.post(func(now lynxspool.Time) { l.bal.Started(now, x.id, n) })
+	}
 	go func() {
-		result, body := l.pool.attempt(ctx, h, x)
-		cancel()
-		l.post(func(now lynxspool.Time) { l.ended(now, x, n, sent, result, body) })
+		result, body := l.pool.attempt(ctx, h, x, t)
+		cancel(nil)
+		if timer != nil {
+			timer.Stop()
+		}
+		l.post(func(now lynxspool.Time) { l.ended(now, x, n, result, body) })
 	}()
 }
 
 // ended is the end of an attempt. The first good answer ends the request by
 // itself; the Balancer is told so.
-func (l *Loop) ended(now lynxspool.Time, x *exchange, n int, sent time.Time, result lynxspool.Result, good answer) {
+func (l *Loop) ended(now lynxspool.Time, x *exchange, n int, result lynxspool.Result, good answer) {
 	x.out--
 	if result == lynxspool.OK {
 		x.finish(good)
 	}
+	t := x.attempts[n]
+	took := t.took
+	if took == 0 {
+		took = max(0, now-l.clock.at(t.from))
+	}
 	l.bal.Outcome(now, lynxspool.Outcome{
-		Request: x.id, Attempt: n, Result: result,
-		Elapsed: max(0, now-l.clock.at(sent)), Closed: x.over.Load(),
+		Request: x.id, Attempt: n, Result: result, Elapsed: took, Closed: x.over.Load(), Spent: x.spent(),
 	})
 	l.release(x)
 }
--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -92,7 +92,7 @@
 		o.rejects.warn("operator's call refused", "method", r.Method, "path", r.URL.Path, "status", status, "err", err)
 		http.Error(w, err.Error(), status)
 	}
-	if ambiguous(r) {
+	if _, clear := framing(r); !clear {
 		no(http.StatusBadRequest, errAmbiguous)
 		return
 	}
--- a/state.go
+++ b/state.go
@@ -114,6 +114,7 @@
 	overdue  bool // it was answered for want of time or hosts
 	stuck    bool // an attempt was called off as its host had lost it
 	bound    bool // a stream has begun, it is that attempt's now
+	spent    bool // it cannot be sent again
 	queued   bool
 	link     node[request] // in its line
 	atts     []*attempt
@@ -126,6 +127,7 @@
 	ended  bool
 	result Result
 	trial  bool
+	flying bool          // it counts among those that its host is judged by
 	link   node[attempt] // at its host
 }
 
