Spread the watches that gateways begin anew after losing discovery

Where lists are pushed, Discovery.Run doubled its wait without jitter, so gateways that lost discovery together came back together.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -151,12 +152,16 @@
 		select {
 		case <-ctx.Done():
 		case <-d.moved:
-		case <-time.After(backoff):
+		case <-time.After(jitter(backoff)):
 		}
 		backoff = min(2*backoff, watchMost)
 	}
 }
 
+// jitter spreads a wait over half to one and a half times itself: gateways that lost
+// discovery together must not come back to it together.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
 // watch holds one watch until it ends and says whether it brought anything.
 func (d *Discovery) watch(ctx context.Context, loop *Loop) (heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -604,3 +604,16 @@
 		t.Error("a list from discovery does not count as heard")
 	}
 }
+
+// Gateways that lose discovery together come back to it spread out.
+func TestBackOffIsJittered(t *testing.T) {
+	const d = time.Second
+	least, most := time.Hour, time.Duration(0)
+	for range 1000 {
+		j := jitter(d)
+		least, most = min(least, j), max(most, j)
+	}
+	if least < d/2 || most >= 2*d || most-least < d/2 {
+		t.Errorf("waits from %v to %v for %v", least, most, d)
+	}
+}
