--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1526,13 +1526,13 @@
 	}
 }
 
-// Whoever is on call looks lines up in the README; each must stand there as printed.
-func TestLogLinesAreInTheREADME(t *testing.T) {
+// Whoever is on call looks lines up in the on-call page; each must stand there as printed.
+func TestLogLinesAreInTheOnCallPage(t *testing.T) {
 	code, err := os.ReadFile("balancer.go")
 	if err != nil {
 		t.Fatal(err)
 	}
-	page, err := os.ReadFile("README.md")
+	page, err := os.ReadFile("docs/on-call.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -1549,7 +1549,7 @@
 	for _, l := range lines {
 		l = strings.NewReplacer("%d of %d", "N of M", "%d", "N", "%x", "X").Replace(l)
 		if !strings.Contains(string(page), l) {
-			t.Errorf("README.md lacks %q", l)
+			t.Errorf("docs/on-call.md lacks %q", l)
 		}
 	}
 }
