--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -195,7 +195,10 @@
 		if ln := s.ln.Load(); ln != nil {
 			(*ln).Close()
 		}
-		for leave := s.exitAt.Add(-most / 2); s.connected() && time.Now().Before(leave); <-tick.C {
+		// Once Serve has returned, whatever it accepted is counted as connected.
+		leave := s.exitAt.Add(-most / 2)
+		for (s.accepting.Load() || s.connected()) && time.Now().Before(leave) {
+			<-tick.C
 		}
 	} else {
 		time.Sleep(lingerTime)
