--- a/balancer.go
+++ b/balancer.go
@@ -417,16 +417,21 @@
 	b.readmit(a.host)
 }
 
-// fly enters an attempt among those that its host is judged by, and land takes it out.
+// fly enters an attempt among those that its host has yet to answer, which are its load
+// and what it is judged by; land takes it out. One whose request is still coming, or whose
+// answer has begun, is the client's to end: it may take long, and is no work there.
 func (b *Balancer) fly(a *attempt) {
 	a.link.item, a.flying = a, true
 	a.host.flight.pushBack(&a.link)
+	a.host.pending++
+	b.outNow++
 }
 
 func (b *Balancer) land(a *attempt) {
 	if a.flying {
 		a.flying = false
 		a.host.flight.remove(&a.link)
+		a.host.pending--
 	}
 }
 
@@ -440,7 +445,7 @@
 	a := r.atts[o.Attempt]
 	a.ended, a.result = true, o.Result
 	r.out--
-	a.host.pending--
+	a.host.open--
 	b.land(a)
 	r.spent = r.spent || o.Spent
 	b.observe(a, max(o.Elapsed, 0).Seconds())
@@ -768,7 +773,7 @@
 	h.trialOut = h.trialOut || a.trial
 	r.atts = append(r.atts, a)
 	r.out++
-	h.pending++
+	h.open++
 	if !r.Upload {
 		b.fly(a)
 	}
@@ -776,7 +781,6 @@
 		b.paceCold(h)
 	}
 	b.act(Action{Kind: Send, Request: r.ID, Host: h.ID})
-	b.outNow++
 	b.sends.add(b.now, b.rateSpan())
 	b.tokens = max(b.tokens-1, 0)
 	b.sweepSoon()
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1737,7 +1737,7 @@
 	for _, a := range g.advance(10 * time.Second) { // ten deadlines
 		t.Errorf("while it comes: %v", a)
 	}
-	if h := g.b.byID[1]; h.fails != 0 || h.pending != 1 || h.flight.head != nil {
+	if h := g.b.byID[1]; h.fails != 0 || h.open != 1 || h.pending != 0 || h.flight.head != nil {
 		t.Errorf("fails %d, pending %d, judged by %v", h.fails, h.pending, h.flight.head)
 	}
 	g.b.Whole(g.now, id, time.Second)
@@ -1785,8 +1785,11 @@
 	if done := g.advance(10 * time.Second); len(done) != 0 || g.b.byID[1].fails != 0 {
 		t.Errorf("actions %v, fails %d", done, g.b.byID[1].fails)
 	}
+	if h := g.b.byID[1]; h.open != 1 || h.pending != 0 {
+		t.Errorf("%d open, %d pending; a stream that has begun is no load", h.open, h.pending)
+	}
 	g.outcome(id, 0, OK, 10*ms)
-	if h := g.b.byID[1]; h.pending != 0 || len(g.b.reqs) != 0 {
+	if h := g.b.byID[1]; h.open != 0 || h.pending != 0 || len(g.b.reqs) != 0 {
 		t.Errorf("pending %d, %d requests", h.pending, len(g.b.reqs))
 	}
 }
--- a/state.go
+++ b/state.go
@@ -67,10 +67,11 @@
 	rtt       float64 // peak EWMA in seconds, as of rttAt
 	rttAt     Time
 	drawn     bool
-	banned    bool // an operator has taken it out
-	slot      int  // its number on the ring
-	sampled   bool // else it has the seed of its kind
-	pending   int
+	banned    bool          // an operator has taken it out
+	slot      int           // its number on the ring
+	sampled   bool          // else it has the seed of its kind
+	open      int           // attempts that have not ended
+	pending   int           // ... of those, the ones that it has yet to answer
 	flight    list[attempt] // in the order sent
 	heard     Time          // last answer of any kind
 	broke     Time          // last connection that failed
@@ -250,7 +251,7 @@
 
 // forget drops a removed host once nothing of ours is out there.
 func (b *Balancer) forget(h *host) {
-	if h.State != Removed || h.pending > 0 || b.byID[h.ID] != h {
+	if h.State != Removed || h.open > 0 || b.byID[h.ID] != h {
 		return
 	}
 	delete(b.byID, h.ID)
