Tell the rate of a warm host without the lag of a young count

A cold host is paced by what a warm one gives (paceCold), which is b.served, a decaying count that starts at nothing: 3 s into a process it told 8 answers a second of 50 (test). So each new process paced all cold hosts far too low. The rate is now told as of the count's age, once ten answers are counted.

--- a/balancer.go
+++ b/balancer.go
@@ -808,7 +808,9 @@
 		b.press(a, rtt)
 		if !h.cold && b.used > 0 {
 			b.served.add(b.now, b.rateSpan())
-			b.warm.add(b.served.now(b.now, b.rateSpan()) / float64(b.used))
+			if served, ok := b.served.steady(b.now, b.rateSpan()); ok {
+				b.warm.add(served / float64(b.used))
+			}
 		}
 		b.readmit(h)
 	case Full:
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1793,3 +1793,34 @@
 		t.Errorf("pending %d, %d requests", h.pending, len(g.b.reqs))
 	}
 }
+
+// Day upgrade+hand: an instance that has just started meets cold hosts. What it
+// has counted so far must not pass for what a warm host gives, or it paces them too low.
+func TestYoungCountTellsTheRate(t *testing.T) {
+	const span, perSecond = 4.0, 50
+	var r rate
+	now := Time(time.Hour)
+	if _, ok := r.steady(now, span); ok {
+		t.Error("a count of nothing tells a rate")
+	}
+	for i := range 40 * perSecond {
+		now += time.Second / perSecond
+		r.add(now, span)
+		if got, ok := r.steady(now, span); ok != (i > fewest) && i != fewest && i != fewest-1 {
+			t.Fatalf("after %d events: told %v", i+1, ok)
+		} else if ok && math.Abs(got-perSecond) > 0.15*perSecond {
+			t.Fatalf("after %d events: %.1f a second, want about %d", i+1, got, perSecond)
+		}
+	}
+}
+
+// Cold hosts are paced by what the warm ones give, soon after the start of an instance.
+func TestColdHostIsPacedFairlyByAYoungInstance(t *testing.T) {
+	set := basic()
+	set.Fall = 4 * time.Second
+	g := start(t, set, hosts(2)...)
+	g.serve(300, 0, func(HostID) time.Duration { return 10 * ms }) // 3 s, with a span of 16 s
+	if got := g.b.warm.mean; got < 40 {
+		t.Errorf("a warm host gives %.0f a second, want about 50", got)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -166,10 +166,21 @@
 	m.mean += w * (x - m.mean)
 }
 
+// fewest is how many events tell a rate, give or take a third.
+const fewest = 10
+
 // rate is a decaying count of events, a second.
 type rate struct {
-	rate float64
-	at   Time
+	rate  float64
+	at    Time
+	since Time // the first event
+}
+
+// steady is the rate without what a young count lacks of it; it says false while too few
+// were counted to tell.
+func (r *rate) steady(now Time, span float64) (float64, bool) {
+	age, counted := (now-r.since).Seconds()/span, r.now(now, span)
+	return counted / (1 - math.Exp(-age)), counted*span >= fewest
 }
 
 func (r *rate) now(now Time, span float64) float64 {
@@ -177,6 +188,9 @@
 }
 
 func (r *rate) add(now Time, span float64) {
+	if r.rate == 0 {
+		r.since = now
+	}
 	r.rate, r.at = r.now(now, span)+1/span, now
 }
 
