Carry the cold start of a host that was called back over an upgrade

The call back now leaves a file whose time says since when the host is cold, read with the bans. A host that is called back while it is not listed is cold once it is.

--- a/balancer.go
+++ b/balancer.go
@@ -75,6 +75,7 @@
 	}
 	b := &Balancer{
 		rng: seed, byID: map[HostID]*host{}, reqs: map[RequestID]*request{}, banned: map[HostID]bool{},
+		back: map[HostID]Time{},
 	}
 	b.adopt(set)
 	return b, nil
@@ -227,10 +228,17 @@
 	h := b.byID[id]
 	if out {
 		b.banned[id] = true
+		delete(b.back, id)
 	} else {
 		delete(b.banned, id)
 	}
-	if h == nil || was == out {
+	if was == out {
+		return
+	}
+	if !out {
+		b.back[id] = now // it may be listed again only later
+	}
+	if h == nil {
 		return
 	}
 	h.banned = out
@@ -243,6 +251,16 @@
 	b.pump()
 }
 
+// CalledBack tells of a call back that this instance has not seen itself, as another served
+// then: the host is cold as of it, listed yet or not.
+func (b *Balancer) CalledBack(now Time, id HostID, since Time) {
+	b.now = now
+	b.back[id] = since
+	if h := b.byID[id]; h != nil {
+		b.chill(h, since)
+	}
+}
+
 // renew makes a host one of which nothing is known.
 func (b *Balancer) renew(h *host) {
 	h.rtt, h.rttAt, h.sampled, h.lat = 0, b.now, false, mean{}
@@ -319,6 +337,9 @@
 	}
 	started := h.Started
 	h.Host = e
+	if since, ok := b.back[e.ID]; ok && h.coldAt < since {
+		b.chill(h, since)
+	}
 	if e.Started > 0 && e.Started != started {
 		b.chill(h, e.Started)
 	}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1824,3 +1824,20 @@
 		t.Errorf("a warm host gives %.0f a second, want about 50", got)
 	}
 }
+
+// A host that was called back while another process served is cold as of then, be it
+// listed by now or not, and not once the time for that is over.
+func TestColdStartIsCarriedOver(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	since := g.now - time.Second
+	g.b.CalledBack(g.now, 1, since)
+	g.b.CalledBack(g.now, 2, since)
+	g.b.CalledBack(g.now, 3, g.now-time.Hour)
+	g.list(ListFull, hosts(3)...)
+	g.list(ListFull, hosts(3)...)
+	for id, want := range map[HostID]bool{1: true, 2: true, 3: false} {
+		if h := g.b.byID[id]; h.cold != want || want && h.coldAt != since {
+			t.Errorf("host %d: cold %v as of %v, want %v as of %v", id, h.cold, h.coldAt, want, since)
+		}
+	}
+}
--- a/internal/gateway/bans.go
+++ b/internal/gateway/bans.go
@@ -16,6 +16,7 @@
 const (
 	bansFolder = "maintenance" // in $TMPDIR
 	banPrefix  = "host-"       // so that no id makes a name with a meaning, such as ".."
+	backPrefix = "back-"       // a host that was called back when this was written: it is cold
 
 	// While two processes overlap, each looks this often at what the other has banned.
 	// An answer to an operator waits banSettle, in which the other has looked.
@@ -28,8 +29,9 @@
 type Bans struct {
 	dir string // "": bans end with the process
 
-	mu  sync.Mutex // held from a change or a look until the loop has been told of it
-	out map[string]bool
+	mu     sync.Mutex // held from a change or a look until the loop has been told of it
+	out    map[string]bool
+	looked bool // what was called back before this process is told
 }
 
 // NewBans returns the bans kept in a folder of tmp. Without tmp, which is the platform's
@@ -51,14 +53,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.dir != "" {
-		path := filepath.Join(b.dir, banPrefix+url.QueryEscape(id))
-		var err error
-		if out {
-			err = os.WriteFile(path, nil, 0o600)
-		} else if err = os.Remove(path); errors.Is(err, fs.ErrNotExist) {
-			err = nil
+		ban := filepath.Join(b.dir, banPrefix+url.QueryEscape(id))
+		back := filepath.Join(b.dir, backPrefix+url.QueryEscape(id))
+		write, remove := ban, back
+		if !out {
+			write, remove = back, ban
 		}
-		if err != nil {
+		if !out && !b.out[id] {
+			write = "" // it is in use: a call that is repeated does not make it cold anew
+		}
+		if write != "" {
+			if err := os.WriteFile(write, nil, 0o600); err != nil {
+				return err
+			}
+		}
+		if err := os.Remove(remove); err != nil && !errors.Is(err, fs.ErrNotExist) {
 			return err
 		}
 	}
@@ -89,11 +98,19 @@
 	}
 	now := map[string]bool{}
 	for _, e := range entries {
-		name, ok := strings.CutPrefix(e.Name(), banPrefix)
-		if id, err := url.QueryUnescape(name); ok && err == nil {
+		kind, name, _ := strings.Cut(e.Name(), "-")
+		id, err := url.QueryUnescape(name)
+		switch {
+		case err != nil:
+		case kind+"-" == banPrefix:
 			now[id] = true
+		case kind+"-" == backPrefix && !b.looked:
+			if info, err := e.Info(); err == nil {
+				loop.calledBack(id, info.ModTime())
+			}
 		}
 	}
+	b.looked = true
 	for id := range b.out {
 		if !now[id] {
 			b.tell(loop, id, false)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -204,6 +204,11 @@
 	})
 }
 
+// calledBack tells of a call back that another process was given.
+func (l *Loop) calledBack(id string, at time.Time) {
+	l.post(func(now lynxspool.Time) { l.bal.CalledBack(now, hostID(id), l.clock.at(at)) })
+}
+
 func (l *Loop) members(now lynxspool.Time, kind lynxspool.ListKind, list MemberList) {
 	if kind != lynxspool.ListFailed {
 		listed := map[lynxspool.HostID]bool{}
--- a/internal/gateway/operator_test.go
+++ b/internal/gateway/operator_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -20,6 +22,11 @@
 	if err != nil {
 		g.Fatal(err)
 	}
+	return g.operateWith(bans, shared)
+}
+
+func (g *testGateway) operateWith(bans *Bans, shared bool) string {
+	g.Helper()
 	o := NewOperator(g.loop, g.server, bans, shared)
 	ln := listen(g.T, "127.0.0.1:0", nil)
 	go o.Serve(ln)
@@ -159,7 +166,7 @@
 func TestBansAreShared(t *testing.T) {
 	dir := t.TempDir()
 	odd := "../s/0%"
-	start := func() (*testGateway, string, *Bans) {
+	start := func() (*testGateway, string) {
 		cfg := testConfig()
 		cfg.Known.Servers = []Member{{ID: odd, Addr: "127.0.0.1:1", State: "ready"}}
 		g := startGateway(t, cfg)
@@ -174,14 +181,14 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		t.Cleanup(cancel)
 		go bans.Watch(g.loop, ctx.Done())
-		return g, g.operate(dir, true), bans
+		return g, g.operateWith(bans, true)
 	}
-	old, oldAddr, _ := start()
+	old, oldAddr := start()
 	path := "/hosts/..%2Fs%2F0%25/"
 	if status, _ := call(t, oldAddr, line("PUT", path+"maint")); status != 200 {
 		t.Fatalf("status %d", status)
 	}
-	next, nextAddr, _ := start()
+	next, nextAddr := start()
 	if next.loop.Ready() {
 		t.Error("the next process would use the host")
 	}
@@ -189,6 +196,11 @@
 		t.Fatalf("status %d", status)
 	}
 	until(t, "the old process follows", old.loop.Ready)
+	// One that starts now knows that the host is cold.
+	entries, err := os.ReadDir(filepath.Join(dir, bansFolder))
+	if err != nil || len(entries) != 1 || entries[0].Name() != "back-..%2Fs%2F0%25" {
+		t.Errorf("the folder holds %v, %v", entries, err)
+	}
 	if status, _ := call(t, nextAddr, line("PUT", path+"maint")); status != 200 {
 		t.Fatalf("status %d", status)
 	}
--- a/state.go
+++ b/state.go
@@ -25,6 +25,7 @@
 	byID     map[HostID]*host
 	reqs     map[RequestID]*request
 	banned   map[HostID]bool // taken out by an operator, listed or not
+	back     map[HostID]Time // called back while another process served
 	classes  []*class
 	bands    []list[request] // waiting requests, most worth first
 	worths   []float64       // ... of each
