Share the descriptors of connections to hosts between overlapping processes

Each process kept its own 35 in 100 of the descriptors for hosts, so two together could pass the limit that they share. For 10 s after its start, and from SIGTERM on, a process with a shared listener keeps to half. Clients share theirs out themselves. An upload that is whole while the process stops was due after its end; it is now due before, like all others.

--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -23,6 +23,10 @@
 // before it takes anything from clients; it is due to be ready 6 s after its start.
 const listTime = 4 * time.Second
 
+// overlapTime is how long another process may serve beside one that has just started: the
+// time it is given to get ready, and the other to end.
+const overlapTime = 10 * time.Second
+
 // memoryShare is the part of the memory limit at which the collector works harder;
 // the rest is for stacks, the binary and what the kernel holds for us.
 const memoryShare = 0.7
@@ -93,6 +97,14 @@
 		operator := gateway.NewOperator(loop, server, bans, shared)
 		go func() { broken <- operator.Serve(operators) }()
 	}
+	if cfg.AcceptFD != 0 {
+		pool.Overlap(true)
+		time.AfterFunc(overlapTime, func() {
+			if server.Healthy() == nil { // else it stops, and another is beside it again
+				pool.Overlap(false)
+			}
+		})
+	}
 	loop.Members(lynxspool.ListSaved, cfg.Known)
 	go discovery.Run(ctx, loop)
 	go func() {
--- a/internal/gateway/bulk_test.go
+++ b/internal/gateway/bulk_test.go
@@ -392,3 +392,23 @@
 type deadlines struct{ *httptest.ResponseRecorder }
 
 func (deadlines) SetWriteDeadline(time.Time) error { return nil }
+func (deadlines) SetReadDeadline(time.Time) error  { return nil }
+
+// A body that has come whole while the process stops is answered before it ends.
+func TestUploadIsDueBeforeTheEnd(t *testing.T) {
+	host := httpHost(t, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(w, "good")
+	})
+	p, x := newTestPool(), newExchange("")
+	s := &Server{exitAt: time.Now().Add(time.Second)}
+	x.due, x.left = s.due, time.Hour
+	x.upload = &upload{
+		clientBody: &clientBody{body: bytes.NewReader(text(100_000)), rc: http.NewResponseController(deadlines{httptest.NewRecorder()})},
+		length:     100_000, whole: make(chan struct{}),
+	}
+	s.stopping.Store(true)
+	if got, _ := tryOnce(t, p, pooled(p, host.addr()), x); got != lynxspool.OK || !x.deadline.Equal(s.exitAt) {
+		t.Errorf("result %v, due %v, want the end of the process %v", got, x.deadline, s.exitAt)
+	}
+}
--- a/internal/gateway/host_test.go
+++ b/internal/gateway/host_test.go
@@ -158,6 +158,7 @@
 	x := &exchange{
 		method: http.MethodPost, uri: "/api/1", host: "service.internal", header: http.Header{},
 		body: []byte(body), left: patience, deadline: time.Now().Add(patience), answer: make(chan answer, 1),
+		due: func(t time.Time) time.Time { return t },
 	}
 	return x
 }
@@ -599,3 +600,39 @@
 		t.Errorf("with room again: result %v", got)
 	}
 }
+
+// Two processes that serve beside each other have the descriptors together: what is idle
+// beyond the smaller part is closed.
+func TestConnectionsWhileProcessesOverlap(t *testing.T) {
+	p, server := newTestPool(), newHost(t, says(good))
+	p.limit, p.budget = 4, 4
+	h := pooled(p, server.addr())
+	var conns []*conn
+	get := func() (err error) {
+		c, err := p.get(context.Background(), h)
+		if err == nil {
+			conns = append(conns, c)
+		}
+		return err
+	}
+	for range 4 {
+		if err := get(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, c := range conns[:3] {
+		p.put(c)
+	}
+	p.Overlap(true)
+	if open, idle := p.counts(h); open != 2 || idle != 1 {
+		t.Errorf("%d connections open, %d idle; want 2 and 1", open, idle)
+	}
+	get()
+	if err := get(); err != errNoSockets {
+		t.Errorf("a third connection: %v", err)
+	}
+	p.Overlap(false)
+	if err := get(); err != nil {
+		t.Errorf("alone again: %v", err)
+	}
+}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -38,12 +38,13 @@
 type Pool struct {
 	dialer  net.Dialer
 	maxIdle time.Duration
-	budget  int // connections at most, all hosts together
+	limit   int // connections at most, all hosts together
 	kept    *budget
 
-	mu   sync.Mutex
-	open int               // connections, in use, idle and being dialled
-	idle map[*host][]*conn // the warmest last
+	mu     sync.Mutex
+	open   int               // connections, in use, idle and being dialled
+	budget int               // of them; less than limit while another process has its part
+	idle   map[*host][]*conn // the warmest last
 }
 
 // host is where attempts go. The loop creates it and updates it through the Pool;
@@ -77,12 +78,26 @@
 	return &Pool{
 		dialer:  net.Dialer{Timeout: cfg.DialTimeout},
 		maxIdle: time.Duration(idleShare * float64(cfg.ConnIdle)),
+		limit:   cfg.Sockets * hostSockets / 100,
 		budget:  cfg.Sockets * hostSockets / 100,
 		idle:    map[*host][]*conn{},
 		kept:    newBudget(cfg),
 	}
 }
 
+// Overlap says whether another process serves beside this one: the two have the
+// descriptors together. Clients share theirs out by coming to one or the other.
+func (p *Pool) Overlap(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget = p.limit
+	if on {
+		p.budget /= 2
+	}
+	for p.open > p.budget && p.closeColdest() {
+	}
+}
+
 // Run closes idle connections that hosts have closed or soon will, until ctx ends.
 func (p *Pool) Run(ctx context.Context) {
 	tick := time.NewTicker(sweepEvery)
@@ -485,7 +500,7 @@
 		}
 		if err == io.EOF {
 			// All of it has come, so its time begins.
-			x.deadline = time.Now().Add(x.left)
+			x.deadline = x.due(time.Now().Add(x.left))
 		}
 		if err == io.EOF && up.length < 0 {
 			if err := piece(buf[:n]); err != nil {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -62,8 +62,9 @@
 	rules         *Rules // under which class and tenant are looked up
 	class, tenant int
 	repeat        bool
-	left          time.Duration // that the client waits from its last byte on
-	deadline      time.Time     // when its answer is due; of an upload, once it is whole
+	due           func(time.Time) time.Time // the same, or when the process ends
+	left          time.Duration             // that the client waits from its last byte on
+	deadline      time.Time                 // when its answer is due; of an upload, once it is whole
 
 	over   atomic.Bool // it is answered or nobody waits: set once, by finish
 	answer chan answer // holds the answer that finish was won with
@@ -192,6 +193,7 @@
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
 	if s.cfg.AcceptFD != 0 {
+		s.loop.pool.Overlap(true)
 		if ln := s.ln.Load(); ln != nil {
 			(*ln).Close()
 		}
@@ -456,7 +458,7 @@
 	x := &exchange{
 		method: r.Method, uri: r.RequestURI, host: r.Host, url: r.URL, header: r.Header,
 		repeat: r.Header.Get("X-Retried") == "1", answer: make(chan answer, 1),
-		give: func() {},
+		give: func() {}, due: s.due,
 	}
 	bad := func(format string, args ...any) (*exchange, int, error) {
 		return nil, http.StatusBadRequest, fmt.Errorf(format, args...)
@@ -484,12 +486,18 @@
 			return nil, status, err
 		}
 	}
-	if s.stopping.Load() && x.deadline.After(s.exitAt) {
-		x.deadline = s.exitAt
-	}
+	x.deadline = s.due(x.deadline)
 	return x, 0, nil
 }
 
+// due is when an answer is due: all are before the process ends.
+func (s *Server) due(t time.Time) time.Time {
+	if s.stopping.Load() && t.After(s.exitAt) {
+		return s.exitAt
+	}
+	return t
+}
+
 // readBody reads the body if it is to be kept, and else prepares for its coming.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, x *exchange, began time.Time) (int, error) {
 	if r.ContentLength > maxBody {
