--- a/cmd/dunemoor/main_test.go
+++ b/cmd/dunemoor/main_test.go
@@ -38,19 +38,27 @@
 type program struct {
 	*exec.Cmd
 	url    string
+	config string // path of its configuration
 	out    bytes.Buffer
 	exited chan struct{}
 }
 
 // start runs the program with a configuration.
 func start(t *testing.T, config, listen string) *program {
+	t.Helper()
+	return launch(t, config, "http://"+listen, nil, "GW_LISTEN="+listen)
+}
+
+// launch runs the program with a configuration, further descriptors and variables.
+func launch(t *testing.T, config, url string, files []*os.File, vars ...string) *program {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := &program{Cmd: exec.Command(os.Args[0]), url: "http://" + listen, exited: make(chan struct{})}
-	p.Env = append(os.Environ(), "DUNEMOOR_AS_PROGRAM=1", "GW_CONFIG="+path, "GW_LISTEN="+listen)
+	p := &program{Cmd: exec.Command(os.Args[0]), url: url, config: path, exited: make(chan struct{})}
+	p.Env = append(append(os.Environ(), "DUNEMOOR_AS_PROGRAM=1", "GW_CONFIG="+path), vars...)
+	p.ExtraFiles = files
 	p.Stdout, p.Stderr = &p.out, &p.out
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
@@ -273,9 +281,8 @@
 	p := start(t, text, freeAddr(t))
 	p.ready(t)
 	<-old.watched
-	path := strings.TrimPrefix(p.Env[len(p.Env)-2], "GW_CONFIG=")
 	for _, text := range []string{"{", strings.Replace(text, old.addr(), moved.addr(), 1)} {
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		if err := p.Process.Signal(syscall.SIGHUP); err != nil {
@@ -362,31 +369,13 @@
 	}
 }
 
-// startBeside starts the program on a listening socket that it inherits.
+// startBeside starts the program on a listening socket that it inherits; its url is the
+// operators'.
 func startBeside(t *testing.T, config string, socket *os.File, tmp string) *program {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
-		t.Fatal(err)
-	}
 	operator := freeAddr(t)
-	p := &program{Cmd: exec.Command(os.Args[0]), url: "http://" + operator, exited: make(chan struct{})}
-	p.Env = append(os.Environ(), "DUNEMOOR_AS_PROGRAM=1", "GW_CONFIG="+path, "GW_LISTEN=127.0.0.1:1",
-		"GW_OPERATOR="+operator, "GW_ACCEPT_FD=3", "TMPDIR="+tmp)
-	p.ExtraFiles = []*os.File{socket} // descriptor 3 there
-	p.Stdout, p.Stderr = &p.out, &p.out
-	if err := p.Start(); err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		p.Wait()
-		close(p.exited)
-	}()
-	t.Cleanup(func() {
-		p.Process.Kill()
-		<-p.exited
-	})
-	return p
+	return launch(t, config, "http://"+operator, []*os.File{socket}, // descriptor 3 there
+		"GW_LISTEN=127.0.0.1:1", "GW_OPERATOR="+operator, "GW_ACCEPT_FD=3", "TMPDIR="+tmp)
 }
 
 // operate makes a call to the operators' address.
--- a/internal/gateway/bulk_test.go
+++ b/internal/gateway/bulk_test.go
@@ -36,6 +36,19 @@
 	return &testHost{Listener: s.Listener}
 }
 
+// look asks for an answer and leaves its body to the caller.
+func (g *testGateway) look() *http.Response {
+	g.Helper()
+	r, _ := http.NewRequest("GET", g.url+"/api/1", nil)
+	r.Header.Set("X-Priority-Class", "look")
+	r.Header.Set("X-Request-ID", "id-1")
+	resp, err := (&http.Transport{}).RoundTrip(r)
+	if err != nil {
+		g.Fatal(err)
+	}
+	return resp
+}
+
 // Bodies of any length arrive at the host as they were, however they are framed; the
 // gateway keeps little of them meanwhile.
 func TestLongBodies(t *testing.T) {
@@ -107,13 +120,7 @@
 			return name == "length" || name == "chunked"
 		})
 		g := startGateway(t, testConfig(host))
-		r, _ := http.NewRequest("GET", g.url+"/api/1", nil)
-		r.Header.Set("X-Priority-Class", "look")
-		r.Header.Set("X-Request-ID", "id-1")
-		resp, err := (&http.Transport{}).RoundTrip(r)
-		if err != nil {
-			t.Fatalf("%s: %v", name, err)
-		}
+		resp := g.look()
 		first := make([]byte, 1000)
 		if _, err := io.ReadFull(resp.Body, first); err != nil {
 			t.Fatalf("%s: %v", name, err)
@@ -158,13 +165,7 @@
 		return true
 	})
 	g := startGateway(t, testConfig(host))
-	r, _ := http.NewRequest("GET", g.url+"/api/1", nil)
-	r.Header.Set("X-Priority-Class", "look")
-	r.Header.Set("X-Request-ID", "id-1")
-	resp, err := (&http.Transport{}).RoundTrip(r)
-	if err != nil {
-		t.Fatal(err)
-	}
+	resp := g.look()
 	first := make([]byte, 2)
 	io.ReadFull(resp.Body, first)
 	close(release)
