See the end of an upload of told length by its length

Seen: TestUploadIsDueBeforeTheEnd failed two times in four.

TestIdleClientsMakeRoom failed one time in 40 beside other work: the client may have its answer before the server notes the connection idle, so the order was not what the test took it for. It waits for that now; 100 runs pass.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -505,6 +505,18 @@
 		if text, err := io.ReadAll(resp.Body); string(text) != "good" {
 			t.Fatalf("connection %d: %q, %v", i, text, err)
 		}
+		// The answer may be here before the server has noted that its connection is idle.
+		until(t, "the connection is idle", func() bool {
+			g.server.mu.Lock()
+			defer g.server.mu.Unlock()
+			n := 0
+			for _, c := range g.server.conns {
+				if c.state == http.StateIdle {
+					n++
+				}
+			}
+			return n >= min(i+1, budget)
+		})
 	}
 	until(t, "the connections are within the budget", func() bool {
 		g.server.mu.Lock()
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -495,6 +495,9 @@
 		}
 		up.spent = true
 		n, err := up.Read(buf[:])
+		if err == nil && up.got == up.length {
+			err = io.EOF // the host will not wait for it to be told
+		}
 		if err != nil && err != io.EOF {
 			return false, fmt.Errorf("%w: %w", errClient, err)
 		}
