Do not take for crowding what an attempt takes alone at its host

The limit of a host steers to a mean RTT of 0.375 aims, 56 ms here: search takes more than that by itself, its hosts write slowly. So each answer read as crowding, cut the limit to its floor and kept it there (observe, adjust).

--- a/balancer.go
+++ b/balancer.go
@@ -41,6 +41,8 @@
 	limitStart   = 4         // attempts a new host may hold from the whole bank
 	limitAims    = 0.375     // mean RTT that the in-flight limit of a host steers to, in aims
 	limitTimes   = 2         // ... or in times what is usual for the class, if that is less
+	aloneTimes   = 1.25      // ... or in times what an attempt alone at its host takes, if that is more
+	limitMost    = 0.5       // ... but this many aims at most
 	recentAims   = 0.5       // span of a host's recent mean RTT, in shortest aims: faster than hosts tip
 	recentMost   = 0.5       // weight of one answer in that mean at most: one may be odd
 	limitLeast   = 2         // ... and is never kept from holding: one runs while the next arrives
@@ -794,6 +796,7 @@
 	h.trialOut = h.trialOut || a.trial
 	r.atts = append(r.atts, a)
 	r.out++
+	a.alone = h.pending == 0
 	h.open++
 	if !r.Upload {
 		b.fly(a)
@@ -818,11 +821,18 @@
 	if l := &a.req.class.lat; l.seen {
 		aims = max(aims, limitAims/limitTimes*rtt/l.mean)
 	}
+	// What takes long with nothing else of ours there is not crowding.
+	if l := &a.req.class.alone; l.seen {
+		aims /= min(max(1, aloneTimes*l.mean/(limitAims*a.req.class.Aim.Seconds())), limitMost/limitAims)
+	}
 	if a.trial {
 		h.trialOut = false
 	}
 	switch a.result {
 	case OK:
+		if a.alone {
+			a.req.class.alone.addLong(rtt)
+		}
 		h.passed = max(h.passed, a.sent)
 		b.sample(h, b.typical(a, rtt))
 		b.adjust(h, aims, a.req.class.Aim, a.sent)
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1841,3 +1841,36 @@
 		}
 	}
 }
+
+// A class may take long by itself, as one whose answers are written slowly does. What an
+// attempt takes with nothing else of ours at its host is not crowding, so it cuts no limit;
+// what it takes beyond that does, and so does more than a share of the aim in any case.
+func TestLimitIsNotCutByWhatAnAttemptTakesAlone(t *testing.T) {
+	aim := basic().Classes[0].Aim
+	limit := func(alone, crowded float64) float64 { // shares of the aim
+		g := start(t, basic(), hosts(1)...)
+		h := g.b.byID[1]
+		took := func(share float64) time.Duration { return time.Duration(share * float64(aim)) }
+		g.serve(50, 0, func(HostID) time.Duration { return took(alone) })
+		h.limit = 8 // as it was before any of this
+		before, more := g.request(0, time.Second), []RequestID{}
+		for range 3 {
+			more = append(more, g.request(0, time.Second))
+		}
+		g.advance(took(crowded))
+		for _, id := range append(more, before) {
+			g.outcome(id, 0, OK, took(crowded))
+		}
+		g.serve(1, 0, func(HostID) time.Duration { return took(crowded) })
+		return h.limit
+	}
+	if got := limit(0.39, 0.42); got < 8 {
+		t.Errorf("limit %.1f: cut by answers that take what one alone does", got)
+	}
+	if got := limit(0.2, 0.42); got >= 8 {
+		t.Errorf("limit %.1f: not cut by answers that take twice what one alone does", got)
+	}
+	if got := limit(0.48, 0.7); got >= 8 {
+		t.Errorf("limit %.1f: not cut by answers that take most of the aim", got)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -97,6 +97,7 @@
 type class struct {
 	Class
 	lat   mean // RTT of good answers
+	alone mean // ... of those that were alone at their host
 	bands [4]int
 }
 
@@ -129,6 +130,7 @@
 	ended  bool
 	result Result
 	trial  bool
+	alone  bool          // nothing else of ours was there
 	flying bool          // it counts among those that its host is judged by
 	link   node[attempt] // at its host
 }
