Let limits spare what is alone only where few instances share a host

With 300 gateways each is alone at a host nearly always, as it sees it, and all of them together crowd it. From boundShare instances at a host on (8, as for the bound on the rate) the limit is judged as before.

The test fails without it.

--- a/balancer.go
+++ b/balancer.go
@@ -821,8 +821,9 @@
 	if l := &a.req.class.lat; l.seen {
 		aims = max(aims, limitAims/limitTimes*rtt/l.mean)
 	}
-	// What takes long with nothing else of ours there is not crowding.
-	if l := &a.req.class.alone; l.seen {
+	// What takes long with nothing else of ours there is not crowding; but where boundShare
+	// instances or more share a host, each is alone by itself and the host still crowded.
+	if l := &a.req.class.alone; l.seen && b.sharers() < boundShare {
 		aims /= min(max(1, aloneTimes*l.mean/(limitAims*a.req.class.Aim.Seconds())), limitMost/limitAims)
 	}
 	if a.trial {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1847,12 +1847,14 @@
 // what it takes beyond that does, and so does more than a share of the aim in any case.
 func TestLimitIsNotCutByWhatAnAttemptTakesAlone(t *testing.T) {
 	aim := basic().Classes[0].Aim
+	instances := 1
 	limit := func(alone, crowded float64) float64 { // shares of the aim
 		g := start(t, basic(), hosts(1)...)
 		h := g.b.byID[1]
 		took := func(share float64) time.Duration { return time.Duration(share * float64(aim)) }
 		g.serve(50, 0, func(HostID) time.Duration { return took(alone) })
 		h.limit = 8 // as it was before any of this
+		g.b.set.Instances = instances
 		before, more := g.request(0, time.Second), []RequestID{}
 		for range 3 {
 			more = append(more, g.request(0, time.Second))
@@ -1873,4 +1875,8 @@
 	if got := limit(0.48, 0.7); got >= 8 {
 		t.Errorf("limit %.1f: not cut by answers that take most of the aim", got)
 	}
+	instances = boundShare // each of which is alone there as it sees it
+	if got := limit(0.39, 0.42); got >= 8 {
+		t.Errorf("limit %.1f: not cut by answers of a host that %d instances share", got, boundShare)
+	}
 }
