Take a reset found while waiting for more of an answer as its end, not as served

Cause: an answer without a length is told by the end of its connection. more() looked for its next byte with bufio's Peek and left any error but the time-out to whoever reads next. A socket tells a reset just once and bufio forgets an error it has handed out, so the next read found an end in order and the part passed for whole.

The error now ends the attempt as a reset.

--- a/internal/gateway/bulk_test.go
+++ b/internal/gateway/bulk_test.go
@@ -155,6 +155,29 @@
 	}
 }
 
+// A reset is no end: an answer without a length that breaks off is not served, at whatever
+// moment of its reading that is found.
+func TestAnswerToldByItsCloseThatIsReset(t *testing.T) {
+	for name, text := range map[string]string{
+		"1.1":     "HTTP/1.1 200 OK\r\n\r\nha",
+		"1.0":     "HTTP/1.0 200 OK\r\n\r\nha",
+		"closing": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nha",
+		"empty":   "HTTP/1.1 200 OK\r\n\r\n",
+	} {
+		host := newHost(t, func(c net.Conn, r *http.Request, n int) bool {
+			io.WriteString(c, text)
+			return breakOff(c, r, n)
+		})
+		g := startGateway(t, testConfig(host))
+		if resp, body := g.ask("book", "/api/1", "b"); resp.StatusCode != http.StatusBadGateway {
+			t.Errorf("%s: answer %d %q", name, resp.StatusCode, body)
+		}
+		if requests, _, _ := host.counts(); requests != 1 {
+			t.Errorf("%s: the host got an unsafe request %d times", name, requests)
+		}
+	}
+}
+
 // An answer that is not whole soon is passed on as it comes.
 func TestSlowAnswerIsNotHeldBack(t *testing.T) {
 	release := make(chan struct{})
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -588,8 +588,14 @@
 	soon := time.Now().Add(streamAfter)
 	buf := make([]byte, 0, min(size+1, 4<<10))
 	for {
-		if st.length < 0 && len(buf) > 0 && !c.more(soon) {
-			break
+		if st.length < 0 && len(buf) > 0 {
+			more, err := c.more(soon)
+			if err != nil {
+				return 0, a, false, err
+			}
+			if !more {
+				break
+			}
 		}
 		if len(buf) == cap(buf) {
 			buf = slices.Grow(buf, len(buf))
@@ -613,15 +619,23 @@
 	return resp.StatusCode, a, !resp.Close, nil
 }
 
-// more waits until there is more to read of an answer, and says whether there is by then.
-func (c *conn) more(until time.Time) bool {
+// more waits until there is more to read of an answer, or it has ended, and says whether
+// that is so by then. A connection tells that it was reset just once, and a read after that
+// finds an end in order; so the error is the caller's to heed.
+func (c *conn) more(until time.Time) (bool, error) {
 	if c.in.Buffered() > 0 {
-		return true
+		return true, nil
 	}
 	c.SetReadDeadline(until)
 	defer c.SetReadDeadline(time.Time{})
-	_, err := c.in.Peek(1)
-	return !errors.Is(err, os.ErrDeadlineExceeded) // any other error is found by who reads
+	switch _, err := c.in.Peek(1); {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return false, nil
+	case err == nil || err == io.EOF:
+		return true, nil // the end comes again to who reads the body
+	default:
+		return false, err
+	}
 }
 
 // hopByHop are the headers that concern one connection only.
