Open a watch anew at once that fell silent before its first line

Cause: a silent watch was opened anew at once only if it had brought a line (Run: errSilent && heard). Watches that fell silent between discovery's answer to the call and the first line, as they do when silence begins in the first second, were told to the module as a failure, which waits for its rank's slot.

Ruled out: the watch's silence limit (the gateways whose watch had brought a line reopened at 6.0 to 7.0 s and sent nothing late); discovery itself (they had the list at once).

A watch that is open counts as heard when it falls silent. A call that gets no answer at all is made anew once as well; after that the module's turns go on as before. Tests, seen to fail: no second watch without being asked; one call in place of two.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -164,6 +164,7 @@
 	backoff, lost := watchBackoff, false
 	var since, logged time.Time // of the loss, and of the last line about it
 	asked, tried := false, 0    // what was asked for stands; instances that failed for it
+	again := false              // a call without an answer was made anew at once already
 	for ctx.Err() == nil {
 		if d.ask && !asked {
 			select {
@@ -193,8 +194,11 @@
 			continue
 		}
 		// A watch that fell silent has missed what counts as told by now: it is opened anew
-		// at once, and only if that fails is the module told, which takes its time.
-		asked = errors.Is(err, errSilent) && heard
+		// at once, and only if that fails is the module told, which takes its time. So is a
+		// call that got no answer, but once: where every call goes unanswered the module's
+		// turns keep the bank's calls apart.
+		asked = errors.Is(err, errSilent) && (heard || !again)
+		again = asked && !heard
 		d.mu.Lock()
 		d.at = (d.at + 1) % len(d.addrs)
 		instances := len(d.addrs)
@@ -260,7 +264,8 @@
 // more than with the half to one and a half of the step that was drawn before.
 func jitter(d time.Duration) time.Duration { return rand.N(2 * d) }
 
-// watch holds one watch until it ends and says whether it brought anything.
+// watch holds one watch until it ends and says whether it brought anything, or was open
+// when it fell silent.
 func (d *Discovery) watch(ctx context.Context, loop Lister) (heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -272,9 +277,10 @@
 	d.mu.Unlock()
 	silence := time.AfterFunc(first, func() { cancel(errSilent) })
 	defer silence.Stop()
+	open := false // discovery has answered the call
 	defer func() {
 		if cause := context.Cause(ctx); cause == errSilent || cause == errMoved {
-			err = cause
+			err, heard = cause, heard || open
 		}
 	}()
 	d.mu.Lock()
@@ -301,6 +307,7 @@
 		d.rest(resp.Header.Get("Retry-After"))
 		return false, fmt.Errorf("discovery answers %s", resp.Status)
 	}
+	open = true
 	silence.Reset(d.silence)
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, maxLine)
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -148,3 +148,31 @@
 		t.Errorf("the module is told %v", kind)
 	}
 }
+
+// A call that is never answered is made anew at once, but once only: the module is told then,
+// and its turns keep the calls of the bank apart.
+func TestUnansweredCallIsMadeAnewOnce(t *testing.T) {
+	calls := make(chan struct{}, 100)
+	host := newHost(t, func(net.Conn, *http.Request, int) bool {
+		calls <- struct{}{}
+		return true
+	})
+	cfg := testConfig()
+	cfg.Settings.Ask, cfg.Discovery = true, host.addr()
+	d := NewDiscovery(cfg)
+	d.silence = 300 * time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	told, done := make(lists, 8), make(chan struct{})
+	go func() {
+		d.Run(ctx, told)
+		close(done)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	d.Watch()
+	if kind := <-told; kind != lynxspool.ListFailed {
+		t.Errorf("told %v", kind)
+	}
+	if n := len(calls); n != 2 {
+		t.Errorf("%d calls before the module was told, want 2", n)
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -456,7 +456,17 @@
 
 // Where the list must be asked for, too: what a silent watch missed counts as told while the
 // module would still wait for its turn to ask, so it is begun anew at once, once asked for.
+// That holds as well for one that never said more than that it is open.
 func TestSilentWatchIsNotWaitedFor(t *testing.T) {
+	for name, lines := range map[string][]string{
+		"after a line":   {`{"version":50,"full":false,"servers":[]}`},
+		"from its start": nil,
+	} {
+		t.Run(name, func(t *testing.T) { silentWatch(t, lines) })
+	}
+}
+
+func silentWatch(t *testing.T, lines []string) {
 	cfg := testConfig()
 	cfg.Settings.Ask = true
 	disco := newWatchServer(t)
@@ -468,7 +478,9 @@
 	told := make(lists, 8)
 	go d.Run(ctx, told)
 	d.Watch()
-	disco.lines <- `{"version":50,"full":false,"servers":[]}`
+	for _, line := range lines {
+		disco.lines <- line
+	}
 	until(t, "a second watch, asked for once", func() bool {
 		disco.mu.Lock()
 		defer disco.mu.Unlock()
