Answer what was taken before a SIGTERM and is due after the exit, before the exit

Cause: a request that is read after SIGTERM is due by the exit at the latest (Server.due), one that was read before it kept its own time. With a class that waits 4 s and a host that hangs it was still open when the process ended, 3.6 s after the signal. And the last answers were due in the very instant in which the process ended.

Ruled out: a crossing with the close of idle connections (its connection was active), and the write (there was no answer).

Whoever waits for an answer now hears of the end and waits no longer than it, and the process stays 60 ms longer than its last answers are due. What ends service moves to a file of its own; Stop is called Shutdown. Test: a hanging host, a client that waits a minute; before, the process ended with the request open (seen to fail).

--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -156,7 +156,7 @@
 				}
 				close(left)
 			}()
-			server.Stop()
+			server.Shutdown()
 			<-left
 			slog.Info("stopped")
 			return nil
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -31,15 +30,6 @@
 	// shared core may hold us up a few more.
 	answerMargin = 5 * time.Millisecond
 
-	// Clients still come for up to 0.4 s after SIGTERM, and what waits in the
-	// listener's backlog counts as taken: lingerTime is that and room to accept it.
-	lingerTime = 600 * time.Millisecond
-	// At this long after SIGTERM and the longest deadline (exitDeadline at most), the
-	// gateway is killed; stopMargin is left for the last answers to get out.
-	exitTime     = 700 * time.Millisecond
-	exitDeadline = 3 * time.Second
-	stopMargin   = 100 * time.Millisecond
-
 	// Who sends no proper request is owed an answer or a close within 3 s of connecting,
 	// and holds a descriptor until then. A connection is owed 2 s to bring a request.
 	headerTimeout  = 2300 * time.Millisecond // for a client to get a request's head through
@@ -132,7 +122,8 @@
 	ln        atomic.Pointer[net.Listener]
 	accepting atomic.Bool
 	stopping  atomic.Bool
-	exitAt    time.Time // set before stopping: all answers are due by then
+	exitAt    time.Time     // set before stopping: all answers are due by then
+	told      chan struct{} // closed with stopping
 
 	mu    sync.Mutex
 	conns map[net.Conn]connState
@@ -147,7 +138,7 @@
 func NewServer(cfg *Config, loop *Loop) *Server {
 	s := &Server{
 		cfg: cfg, loop: loop, budget: cfg.Sockets * clientSockets / 100,
-		conns: map[net.Conn]connState{},
+		conns: map[net.Conn]connState{}, told: make(chan struct{}),
 	}
 	s.http = http.Server{
 		Handler:           http.HandlerFunc(s.serve), // no ServeMux: it would clean paths and redirect
@@ -164,11 +155,11 @@
 	return s
 }
 
-// Serve takes requests from ln until Stop has closed it.
+// Serve takes requests from ln until Shutdown has closed it.
 func (s *Server) Serve(ln net.Listener) error {
 	s.ln.Store(&ln)
 	if s.stopping.Load() {
-		ln.Close() // Stop may have come too early to see it
+		ln.Close() // Shutdown may have come too early to see it
 	} else {
 		s.accepting.Store(true)
 	}
@@ -180,40 +171,6 @@
 	return err
 }
 
-// Stop ends service in order. With a listener of its own it goes on taking what still
-// comes, asking clients to leave, then closes the listener and idle connections and
-// waits for what was taken. A shared listener it leaves at once: another process takes
-// what comes. The connections it has it then keeps for as long as a request on them can
-// be answered in time, as closing one may cross a request.
-func (s *Server) Stop() {
-	now := time.Now()
-	most := min(s.loop.rules.Load().longest(), exitDeadline)
-	s.exitAt = now.Add(exitTime + most - stopMargin)
-	s.stopping.Store(true)
-	tick := time.NewTicker(10 * time.Millisecond)
-	defer tick.Stop()
-	if s.cfg.AcceptFD != 0 {
-		s.loop.pool.Overlap(true)
-		if ln := s.ln.Load(); ln != nil {
-			(*ln).Close()
-		}
-		// Once Serve has returned, whatever it accepted is counted as connected.
-		leave := s.exitAt.Add(-most / 2)
-		for (s.accepting.Load() || s.connected()) && time.Now().Before(leave) {
-			<-tick.C
-		}
-	} else {
-		time.Sleep(lingerTime)
-	}
-	s.closeIdle()
-	ctx, cancel := context.WithDeadline(context.Background(), s.exitAt)
-	defer cancel()
-	go s.http.Shutdown(ctx) // it looks for the last connection too seldom to be waited for
-	for s.busy() && time.Now().Before(s.exitAt) {
-		<-tick.C
-	}
-}
-
 // Healthy is nil when this process serves: it takes what comes and has a host to send it
 // to.
 func (s *Server) Healthy() error {
@@ -233,38 +190,6 @@
 	errNoHosts  = errors.New("no hosts known")
 )
 
-// connected says whether any client is still connected.
-func (s *Server) connected() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.conns) > 0
-}
-
-// busy says whether a connection holds a request, or may yet bring its first.
-func (s *Server) busy() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, c := range s.conns {
-		if c.state == http.StateActive || c.state == http.StateNew && time.Since(c.since) < lingerTime {
-			return true
-		}
-	}
-	return false
-}
-
-// closeIdle closes the connections that hold no request. Shutdown would do it as well,
-// but without s.mu, under which a connection is either idle or its request goes on.
-func (s *Server) closeIdle() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c, cs := range s.conns {
-		if cs.state == http.StateIdle {
-			delete(s.conns, c)
-			c.Close()
-		}
-	}
-}
-
 // crowded says whether there are more connections than the budget even with no idle
 // one left; they are then closed behind their answers.
 func (s *Server) crowded() bool {
@@ -338,25 +263,27 @@
 // await waits for the answer of an exchange. It says false when nobody wants it any more.
 func (s *Server) await(r *http.Request, x *exchange) (answer, bool) {
 	var whole chan struct{}
-	var late <-chan time.Time
-	gone := r.Context().Done()
+	gone, told := r.Context().Done(), s.told
+	timer := time.NewTimer(time.Until(s.due(x.deadline)))
+	defer timer.Stop()
+	late := timer.C
 	if x.upload != nil {
 		// A body that does not come ends the context too, but whoever reads it answers.
-		whole, gone = x.upload.whole, nil
-	} else {
-		timer := time.NewTimer(time.Until(x.deadline))
-		defer timer.Stop()
-		late = timer.C
+		whole, gone, late = x.upload.whole, nil, nil
 	}
 	for {
 		select {
 		case a := <-x.answer:
 			return a, true
 		case <-whole:
-			whole, gone = nil, r.Context().Done()
-			timer := time.NewTimer(time.Until(x.deadline))
-			defer timer.Stop()
-			late = timer.C
+			whole, gone, late = nil, r.Context().Done(), timer.C
+			timer.Reset(time.Until(s.due(x.deadline)))
+		case <-told:
+			// The process ends before some of the requests that it has taken are due.
+			told = nil
+			if whole == nil {
+				timer.Reset(time.Until(s.due(x.deadline)))
+			}
 		case <-gone:
 			if x.close() {
 				s.loop.Abandon(x)
@@ -490,14 +417,6 @@
 	return x, 0, nil
 }
 
-// due is when an answer is due: all are before the process ends.
-func (s *Server) due(t time.Time) time.Time {
-	if s.stopping.Load() && t.After(s.exitAt) {
-		return s.exitAt
-	}
-	return t
-}
-
 // readBody reads the body if it is to be kept, and else prepares for its coming.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, x *exchange, began time.Time) (int, error) {
 	if r.ContentLength > maxBody {
--- /dev/null
+++ b/internal/gateway/shutdown.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+const (
+	// Clients still come for up to 0.4 s after SIGTERM, and what waits in the
+	// listener's backlog counts as taken: lingerTime is that and room to accept it.
+	lingerTime = 600 * time.Millisecond
+	// At this long after SIGTERM and the longest deadline (exitDeadline at most), the
+	// gateway is killed. The last answers are due stopMargin before that, and the process
+	// stays for writeMargin more, so that they get out.
+	exitTime     = 700 * time.Millisecond
+	exitDeadline = 3 * time.Second
+	stopMargin   = 100 * time.Millisecond
+	writeMargin  = 60 * time.Millisecond
+)
+
+// Shutdown ends service in order. With a listener of its own it goes on taking what still
+// comes, asking clients to leave, then closes the listener and idle connections and
+// waits for what was taken. A shared listener it leaves at once: another process takes
+// what comes. The connections it has it then keeps for as long as a request on them can
+// be answered in time, as closing one may cross a request.
+func (s *Server) Shutdown() {
+	now := time.Now()
+	most := min(s.loop.rules.Load().longest(), exitDeadline)
+	s.exitAt = now.Add(exitTime + most - stopMargin)
+	s.stopping.Store(true)
+	close(s.told)
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	if s.cfg.AcceptFD != 0 {
+		s.loop.pool.Overlap(true)
+		if ln := s.ln.Load(); ln != nil {
+			(*ln).Close()
+		}
+		// Once Serve has returned, whatever it accepted is counted as connected.
+		leave := s.exitAt.Add(-most / 2)
+		for (s.accepting.Load() || s.connected()) && time.Now().Before(leave) {
+			<-tick.C
+		}
+	} else {
+		time.Sleep(lingerTime)
+	}
+	s.closeIdle()
+	ctx, cancel := context.WithDeadline(context.Background(), s.exitAt)
+	defer cancel()
+	go s.http.Shutdown(ctx) // it looks for the last connection too seldom to be waited for
+	for gone := s.exitAt.Add(writeMargin); s.busy() && time.Now().Before(gone); {
+		<-tick.C
+	}
+}
+
+// connected says whether any client is still connected.
+func (s *Server) connected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) > 0
+}
+
+// busy says whether a connection holds a request, or may yet bring its first.
+func (s *Server) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		if c.state == http.StateActive || c.state == http.StateNew && time.Since(c.since) < lingerTime {
+			return true
+		}
+	}
+	return false
+}
+
+// closeIdle closes the connections that hold no request. Shutdown would do it as well,
+// but without s.mu, under which a connection is either idle or its request goes on.
+func (s *Server) closeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, cs := range s.conns {
+		if cs.state == http.StateIdle {
+			delete(s.conns, c)
+			c.Close()
+		}
+	}
+}
+
+// due is when an answer is due: all are before the process ends.
+func (s *Server) due(t time.Time) time.Time {
+	if s.stopping.Load() && t.After(s.exitAt) {
+		return s.exitAt
+	}
+	return t
+}
