Serve the first request of a young connection through the end of service

Cause: after the idle connections were closed, http.Server.Shutdown was called to close the listener and later idle ones. From then on net/http drops every request that it reads, also the first on a connection accepted just before, for which busy() waited in vain; its client got an end in place of an answer. Shutdown also closes a connection that it finds idle without s.mu, so that a request could be read and sent on between its look and its close.

The listener is closed and idle connections are ended under s.mu alone: those that become idle later as they do, the rest in the step that finds no request open, after which nothing that is read is sent on.

Tests: a young connection brings its request once the listener is closed: "unexpected EOF" before (seen to fail), a whole answer now. One that brings it after the end reaches no host (held before, too: it stands guard).

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -125,8 +125,9 @@
 	exitAt    time.Time     // set before stopping: all answers are due by then
 	told      chan struct{} // closed with stopping
 
-	mu    sync.Mutex
-	conns map[net.Conn]connState
+	mu      sync.Mutex
+	conns   map[net.Conn]connState
+	leaving bool // no connection stays for another request
 }
 
 type connState struct {
@@ -207,6 +208,11 @@
 		delete(s.conns, c)
 		return
 	}
+	if state == http.StateIdle && s.leaving {
+		delete(s.conns, c)
+		c.Close()
+		return
+	}
 	s.conns[c] = connState{state, time.Now()}
 	if len(s.conns) <= s.budget {
 		return
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"time"
 )
@@ -45,11 +44,11 @@
 	} else {
 		time.Sleep(lingerTime)
 	}
+	if ln := s.ln.Load(); ln != nil {
+		(*ln).Close()
+	}
 	s.closeIdle()
-	ctx, cancel := context.WithDeadline(context.Background(), s.exitAt)
-	defer cancel()
-	go s.http.Shutdown(ctx) // it looks for the last connection too seldom to be waited for
-	for gone := s.exitAt.Add(writeMargin); s.busy() && time.Now().Before(gone); {
+	for gone := s.exitAt.Add(writeMargin); !s.finish() && time.Now().Before(gone); {
 		<-tick.C
 	}
 }
@@ -61,23 +60,30 @@
 	return len(s.conns) > 0
 }
 
-// busy says whether a connection holds a request, or may yet bring its first.
-func (s *Server) busy() bool {
+// finish closes what is left once no connection holds a request or may yet bring its first,
+// and says whether that is so. It is one step under s.mu: a request that is read after it
+// finds its connection closed, and is not sent on.
+func (s *Server) finish() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.conns {
 		if c.state == http.StateActive || c.state == http.StateNew && time.Since(c.since) < lingerTime {
-			return true
+			return false
 		}
 	}
-	return false
+	for c := range s.conns {
+		c.Close()
+	}
+	return true
 }
 
-// closeIdle closes the connections that hold no request. Shutdown would do it as well,
-// but without s.mu, under which a connection is either idle or its request goes on.
+// closeIdle closes the connections that hold no request, and has those closed that hold
+// none from now on. http.Server.Shutdown would do it as well, but without s.mu, under which
+// a connection is either idle or its request goes on.
 func (s *Server) closeIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.leaving = true
 	for c, cs := range s.conns {
 		if cs.state == http.StateIdle {
 			delete(s.conns, c)
