Tell a client whose request came before a SIGTERM that its connection ends

Need: after SIGTERM clients come again on every connection that stays open.

Cause: "Connection: close" was decided when a request came. One that was out at the signal got its answer without it until the listener closed, 0.6 s later; its client kept the connection, which was then closed as idle, and a request could cross that.

It is decided again with the answer. Test: the answer to a request that is out at the signal says that its connection ends; it did not (seen to fail).

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -238,9 +238,7 @@
 			"peer", r.RemoteAddr)
 		return
 	}
-	if s.stopping.Load() || s.crowded() {
-		w.Header().Set("Connection", "close")
-	}
+	s.mayKeep(w)
 	began, clear := framing(r)
 	if !clear {
 		// What follows on the connection may belong to its body.
@@ -263,9 +261,17 @@
 	if !ok {
 		panic(http.ErrAbortHandler) // a return would be an empty 200
 	}
+	s.mayKeep(w) // the end may have been told meanwhile
 	s.give(w, r, x, a)
 }
 
+// mayKeep tells the client with its answer if its connection will not stay.
+func (s *Server) mayKeep(w http.ResponseWriter) {
+	if s.stopping.Load() || s.crowded() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // await waits for the answer of an exchange. It says false when nobody wants it any more.
 func (s *Server) await(r *http.Request, x *exchange) (answer, bool) {
 	var whole chan struct{}
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -96,3 +96,31 @@
 		t.Errorf("the connection stays: %d bytes, %v", n, err)
 	}
 }
+
+// An answer that is given while service ends says that its connection does, whenever its
+// request came, and the connection is not kept for another.
+func TestLastAnswerEndsItsConnection(t *testing.T) {
+	for name, phase := range map[string]func(s *Server) bool{
+		"the end is told":     func(s *Server) bool { return s.stopping.Load() },
+		"the listener closed": func(s *Server) bool { return s.stopping.Load() && !s.accepting.Load() },
+	} {
+		release := make(chan struct{})
+		host := newHost(t, func(c net.Conn, _ *http.Request, _ int) bool {
+			<-release
+			io.WriteString(c, good)
+			return true
+		})
+		g := startGateway(t, testConfig(host))
+		c := g.open(head("POST /api/1 HTTP/1.1", "i", "Content-Length: 0\r\n"))
+		until(t, "the host has the request", func() bool { n, _, _ := host.counts(); return n == 1 })
+		ended := make(chan struct{})
+		go func() {
+			g.server.Shutdown()
+			close(ended)
+		}()
+		until(t, name, func() bool { return phase(g.server) })
+		close(release)
+		wantLast(t, bufio.NewReader(c))
+		<-ended
+	}
+}
