Write a keyed repeat within its window or not at all

Need: short windows; a repeat must never go out after its window.

Cause: the module looks at the window when it decides on a repeat (repeatable); the connection for it may take a dial time-out more to come up, up to 250 ms by default and 1.5 s as met, and the write may be held up. A window of 300 ms was over by then, and the host would have run the request twice.

Each Send of a repeat now says until when it may go out (Action.By). The gateway dials no longer than that, looks again before the write, and breaks a write off that is not whole by then: the attempt was not sent, which proves that it did not run.

Tests: the second dial held until the window is over; the host got the request twice before (seen to fail), once now.

--- a/api.go
+++ b/api.go
@@ -178,7 +178,7 @@
 
 // Kinds of action.
 const (
-	Send   ActionKind = iota // start an attempt of Request at Host, give it up at At (0: at the client's deadline)
+	Send   ActionKind = iota // start an attempt of Request at Host, give it up at At (0: at the client's deadline); if not written whole by By (0: no limit) it must not be
 	Cancel                   // call off Attempt of Request
 	Refuse                   // final answer: turned away, trying again is harmless; After is advice (0: none)
 	Fail                     // final answer: an error that promises nothing
@@ -214,6 +214,7 @@
 	Attempt int
 	Host    HostID
 	At      Time
+	By      Time
 	After   time.Duration
 	Token   uint64
 	Text    string
--- a/balancer.go
+++ b/balancer.go
@@ -518,7 +518,7 @@
 	if first == nil || c.Effect == Safe {
 		return true
 	}
-	return c.Effect == Keyed && b.now-first.sent <= c.Window-answerSteps*b.set.Step
+	return c.Effect == Keyed && b.now <= b.repeatBy(c, first)
 }
 
 // ejected says whether a host that failed is out of the draw: until its back-off
@@ -564,6 +564,7 @@
 func (b *Balancer) send(r *request, h *host) {
 	a := b.newAttempt()
 	a.req, a.host, a.sent = r, h, b.now
+	by := b.repeatBy(&r.class.Class, r.first())
 	a.trial = h.fails > 0
 	h.trialOut = h.trialOut || a.trial
 	r.atts = append(r.atts, a)
@@ -576,7 +577,7 @@
 	if h.cold {
 		b.paceCold(h)
 	}
-	b.act(Action{Kind: Send, Request: r.ID, Host: h.ID})
+	b.act(Action{Kind: Send, Request: r.ID, Host: h.ID, By: by})
 	b.sends.add(b.now, b.rateSpan())
 	b.tokens = max(b.tokens-1, 0)
 	b.sweepSoon()
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -582,6 +582,39 @@
 	g.sole(Fail)
 }
 
+// Whoever carries out a repeat may be held up: it is told until when it may go out.
+func TestRepeatSaysUntilWhenItMayGoOut(t *testing.T) {
+	for _, class := range []int{0, 1, 2} {
+		g := start(t, basic(), hosts(2)...)
+		id := g.request(class, time.Second)
+		first, sent := g.sole(Send), g.now
+		if first.By != 0 {
+			t.Errorf("class %d: the first attempt may go out until %v", class, first.By)
+		}
+		g.advance(10 * ms)
+		g.outcome(id, 0, Full, 10*ms) // it has not run: the window has yet to begin
+		for _, a := range g.acts {
+			if a.Kind == Send && a.By != 0 {
+				t.Errorf("class %d: an attempt after none that ran may go out until %v", class, a.By)
+			}
+		}
+		g = start(t, basic(), hosts(2)...)
+		id = g.request(class, time.Second)
+		sent = g.now
+		g.advance(10 * ms)
+		g.outcome(id, 0, Reset, 10*ms)
+		c := basic().Classes[class]
+		for _, a := range g.acts {
+			if a.Kind != Send {
+				continue
+			}
+			if c.Effect == Keyed && (a.By <= sent || a.By > sent+c.Window) || c.Effect != Keyed && a.By != 0 {
+				t.Errorf("class %d: sent at %v, repeated until %v", class, sent, a.By)
+			}
+		}
+	}
+}
+
 func TestKeyedWhoseGroupIsGoneFails(t *testing.T) {
 	g := start(t, basic(), hosts(4)...)
 	id := g.request(1, time.Second)
--- a/internal/gateway/host_test.go
+++ b/internal/gateway/host_test.go
@@ -574,6 +574,37 @@
 	}
 }
 
+// A repeat goes out within its window or not at all, however long its connection takes to
+// come up: the host would not know it for a repeat any more.
+func TestRepeatIsNotWrittenAfterItsWindow(t *testing.T) {
+	over := make(chan struct{})
+	cfg := testConfig()
+	window := 300 * time.Millisecond
+	cfg.Settings.Classes[2].Window = window
+	first := func(c net.Conn, r *http.Request, n int) bool {
+		time.AfterFunc(window, func() { close(over) })
+		return breakOff(c, r, n)
+	}
+	host := newHost(t, first)
+	cfg.Known.Servers = testConfig(host).Known.Servers
+	g := startGateway(t, cfg)
+	dials := 0
+	g.loop.pool.dialer.Control = func(_, _ string, _ syscall.RawConn) error {
+		if dials++; dials > 1 {
+			<-over
+		}
+		return nil
+	}
+	resp, _ := g.ask("report", "/api/1", "b", "Idempotency-Key", "k")
+	if resp.StatusCode == 200 {
+		t.Errorf("answer %d", resp.StatusCode)
+	}
+	until(t, "the request is over", func() bool { return g.openRequests() == 0 })
+	if n, _, _ := host.counts(); n != 1 {
+		t.Errorf("the host got the request %d times", n)
+	}
+}
+
 // Connections stay within the budget: an idle one makes room, and with none the
 // attempt is not sent, which proves that it did not run.
 func TestConnectionBudget(t *testing.T) {
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -287,6 +287,8 @@
 	whole  func() // tells the loop that a body sent as it comes is with the host
 	begun  func() // ... that the answer is being passed on
 
+	by time.Time // the request must be written whole by then or not at all; zero: at any time
+
 	from time.Time     // what the host is charged with runs from here
 	took time.Duration // ... for this long, if it does not run to the end
 
@@ -324,8 +326,13 @@
 // attempt is to be given up, by its deadline or by being called off.
 func (p *Pool) attempt(ctx context.Context, h *host, x *exchange, t *try) (lynxspool.Result, answer) {
 	for {
-		c, err := p.get(ctx, h)
+		c, err := p.getBy(ctx, h, t.by)
 		switch {
+		case t.late():
+			if err == nil {
+				p.put(c) // nothing was written to it
+			}
+			return lynxspool.NotSent, answer{}
 		case ctx.Err() != nil:
 			if err == nil {
 				p.put(c) // nothing was written to it
@@ -353,6 +360,19 @@
 	}
 }
 
+// late says whether it is too late to write the request.
+func (t *try) late() bool { return !t.by.IsZero() && !time.Now().Before(t.by) }
+
+// getBy gets a connection that is up in time for the request to be written to it.
+func (p *Pool) getBy(ctx context.Context, h *host, by time.Time) (*conn, error) {
+	if by.IsZero() {
+		return p.get(ctx, h)
+	}
+	ctx, cancel := context.WithDeadline(ctx, by)
+	defer cancel()
+	return p.get(ctx, h)
+}
+
 // unsent is the result of an attempt that was given up before its last byte.
 func unsent(ctx context.Context) lynxspool.Result {
 	if errors.Is(context.Cause(ctx), context.Canceled) {
@@ -374,6 +394,10 @@
 			p.drop(c)
 		}
 	}()
+	if !t.by.IsZero() {
+		c.SetWriteDeadline(t.by)
+		defer c.SetWriteDeadline(time.Time{}) // ahead of the put below, as it is set later
+	}
 	early, err := c.write(x)
 	if err != nil {
 		switch {
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -357,6 +357,9 @@
 	}
 	ctx, cancel := context.WithCancelCause(l.ctx)
 	t := &try{cancel: cancel, from: time.Now()}
+	if a.By > 0 {
+		t.by = l.clock.time(a.By)
+	}
 	n := len(x.attempts)
 	x.attempts = append(x.attempts, t)
 	x.out++
--- a/state.go
+++ b/state.go
@@ -306,6 +306,15 @@
 	return nil
 }
 
+// repeatBy is until when a keyed request may go out again after its first attempt that may
+// have run: a repeat that reaches its host later would run. 0: there is no such limit.
+func (b *Balancer) repeatBy(c *Class, first *attempt) Time {
+	if first == nil || c.Effect != Keyed {
+		return 0
+	}
+	return first.sent + c.Window - answerSteps*b.set.Step
+}
+
 // rejected says whether a host found the request itself at fault: others would too.
 func (r *request) rejected() bool {
 	return len(r.atts) > 0 && r.atts[len(r.atts)-1].result == Rejected
