Leave the deadline of a body that is still coming to the attempt that reads it

Symptom: TestLongBodies under the race detector: await reads the deadline of an upload while the attempt sets it at the body's last byte.

TestLongBodies and TestLongAnswers reported the race before, and pass.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -276,12 +276,16 @@
 func (s *Server) await(r *http.Request, x *exchange) (answer, bool) {
 	var whole chan struct{}
 	gone, told := r.Context().Done(), s.told
-	timer := time.NewTimer(time.Until(s.due(x.deadline)))
+	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
-	late := timer.C
+	var late <-chan time.Time
 	if x.upload != nil {
-		// A body that does not come ends the context too, but whoever reads it answers.
-		whole, gone, late = x.upload.whole, nil, nil
+		// A body that does not come ends the context too, but whoever reads it answers. Until
+		// it is whole its deadline is the attempt's to set.
+		whole, gone = x.upload.whole, nil
+	} else {
+		timer.Reset(time.Until(s.due(x.deadline)))
+		late = timer.C
 	}
 	for {
 		select {
