Bound the connections of clients, and let those without a whole request make room

Need: floods of peers that send nothing, or never finish a head or body; descriptors bounded, honest clients served.

Cause: beyond 55 in 100 of the descriptors only idle connections were closed. Those that had brought nothing, or half a request, were taken without limit and kept for 2.3 to 2.8 s each: with 64 descriptors a flood of 120 had 120 connections, more than there are for clients, hosts and discovery together.

Clients have 60 in 100 at the most; what comes beyond that waits in the listener's backlog while room is made: idle connections first, then new ones without a request for 500 ms, then those whose short body has not come for as long. What is closed so is not sent on.

--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -31,7 +31,8 @@
 // framedConn follows the framing of what its connection brings, from head to head.
 type framedConn struct {
 	net.Conn
-	closed atomic.Bool // by us, whatever may have been read from it
+	closed  atomic.Bool // by us, whatever may have been read from it
+	release func()      // gives back its place at the first Close; may be nil
 
 	mu    sync.Mutex    // net/http reads ahead while the handler runs
 	heads []requestHead // of requests that no handler has yet, in their order
@@ -194,7 +195,11 @@
 // the client then sends in its place go on.
 func (c *framedConn) Close() error {
 	c.closed.Store(true)
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	if c.release != nil {
+		c.release()
+	}
+	return err
 }
 
 type framedKey struct{}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -18,7 +18,8 @@
 // Shares of the descriptors, in hundredths; the rest is for the listener, discovery
 // and what the runtime holds.
 const (
-	clientSockets = 55
+	clientSockets = 55 // beyond this, connections without a request make room
+	mostSockets   = 60 // and this is what clients have at the most
 	hostSockets   = 35
 )
 
@@ -127,12 +128,8 @@
 
 	mu      sync.Mutex
 	conns   map[net.Conn]connState
-	leaving bool // no connection stays for another request
-}
-
-type connState struct {
-	state http.ConnState
-	since time.Time
+	slots   chan struct{} // one for each connection that is open
+	leaving bool          // no connection stays for another request
 }
 
 // NewServer returns a Server that hands requests to loop.
@@ -140,6 +137,7 @@
 	s := &Server{
 		cfg: cfg, loop: loop, budget: cfg.Sockets * clientSockets / 100,
 		conns: map[net.Conn]connState{}, told: make(chan struct{}),
+		slots: make(chan struct{}, cfg.Sockets*mostSockets/100),
 	}
 	s.http = http.Server{
 		Handler:           http.HandlerFunc(s.serve), // no ServeMux: it would clean paths and redirect
@@ -158,13 +156,14 @@
 
 // Serve takes requests from ln until Shutdown has closed it.
 func (s *Server) Serve(ln net.Listener) error {
+	ln = &clientListener{framedListener: framedListener{ln}, server: s, done: make(chan struct{})}
 	s.ln.Store(&ln)
 	if s.stopping.Load() {
 		ln.Close() // Shutdown may have come too early to see it
 	} else {
 		s.accepting.Store(true)
 	}
-	err := s.http.Serve(framedListener{ln})
+	err := s.http.Serve(ln)
 	s.accepting.Store(false)
 	if errors.Is(err, http.ErrServerClosed) || s.stopping.Load() {
 		return nil
@@ -191,44 +190,6 @@
 	errNoHosts  = errors.New("no hosts known")
 )
 
-// crowded says whether there are more connections than the budget even with no idle
-// one left; they are then closed behind their answers.
-func (s *Server) crowded() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.conns) > s.budget
-}
-
-// track follows the clients' connections. Beyond the budget it closes the one idle
-// longest: it guards against running out of descriptors with requests in the backlog.
-func (s *Server) track(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state == http.StateClosed || state == http.StateHijacked {
-		delete(s.conns, c)
-		return
-	}
-	if state == http.StateIdle && s.leaving {
-		delete(s.conns, c)
-		c.Close()
-		return
-	}
-	s.conns[c] = connState{state, time.Now()}
-	if len(s.conns) <= s.budget {
-		return
-	}
-	var idlest net.Conn
-	for c, cs := range s.conns {
-		if cs.state == http.StateIdle && (idlest == nil || cs.since.Before(s.conns[idlest].since)) {
-			idlest = c
-		}
-	}
-	if idlest != nil {
-		delete(s.conns, idlest)
-		idlest.Close()
-	}
-}
-
 // serve answers one request.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
@@ -450,8 +411,9 @@
 		return 0, nil
 	}
 	x.give = func() { s.loop.pool.kept.give(size) }
+	s.reading(r, true)
 	text, err := io.ReadAll(io.LimitReader(body, maxSmall+1))
-	if err != nil {
+	if there := s.reading(r, false); err != nil || !there {
 		x.give()
 		return http.StatusBadRequest, errors.New("the body did not arrive")
 	}
