Take no answer for served whose status line names a protocol of another framing

Need: a malformed head is never passed on as served.

Cause: http.ReadResponse reads "HTTP/2.0 200 OK" like an answer of HTTP/1.1, and read() asked only for the status. Such a line says that the peer frames its answer otherwise.

It counts as failed now, and its connection ends. Test: "a later protocol" was served before (seen to fail). Six more malformed answers stand beside it that held already: two lengths, one below 0, one that is no number, an odd encoding, 4,000 heads ahead of the answer, and a status without a body.

--- a/internal/gateway/host_test.go
+++ b/internal/gateway/host_test.go
@@ -205,6 +205,13 @@
 		{"no status", "HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\ngood", lynxspool.Failed, 0},
 		{"no header", "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 4\r\n\r\ngood", lynxspool.Failed, 0},
 		{"no chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\ngood\r\n0\r\n\r\n", lynxspool.Failed, 0},
+		{"a later protocol", "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\ngood", lynxspool.Failed, 0},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\ngood", lynxspool.Failed, 0},
+		{"a length below 0", "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\ngood", lynxspool.Failed, 0},
+		{"a length that is no number", "HTTP/1.1 200 OK\r\nContent-Length: 4x\r\n\r\ngood", lynxspool.Failed, 0},
+		{"an encoding that is none", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chonked\r\n\r\n4\r\ngood\r\n0\r\n\r\n", lynxspool.Failed, 0},
+		{"many ahead of the answer", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 4000) + good, lynxspool.Failed, 0},
+		{"no body by its status", "HTTP/1.1 204 None\r\n\r\n", lynxspool.Failed, 1},
 		{"no HTTP", "\x8f\x00\r\n\r\n", lynxspool.Failed, 0},
 	}
 	for _, tt := range tests {
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -572,6 +572,8 @@
 			return 0, a, false, errBadAnswer // a head without end
 		} else if err != nil {
 			return 0, a, false, err
+		} else if resp.ProtoMajor != 1 {
+			return 0, a, false, errBadAnswer // its framing is not that of its head
 		}
 		if resp.StatusCode >= 200 {
 			break // those below come ahead of the answer
