Refuse settings that name an unknown way of discovery

Need: settings of another customer; an unknown value gets one clear error, not a guess.

Cause: ParseSettings compared the way with "subscribe" and took any other word, a misspelt one included, for pushed lists. A gateway so configured asks for nothing where the list has to be asked for, and breaks the rule on drains without a word in its log.

An unknown way is an error that names it; none at all stays the documented default.

--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -64,6 +64,10 @@
 	"zone": lynxspool.GroupZone, "cell": lynxspool.GroupCell,
 }
 
+// asks says for each way of discovery whether the list must be asked for; where none is
+// named it is pushed.
+var asks = map[string]bool{"": false, "automatic": false, "subscribe": true}
+
 // ParseSettings reads the settings object of a Hello.
 func ParseSettings(text []byte) (lynxspool.Settings, error) {
 	var in settings
@@ -71,10 +75,14 @@
 	if err := json.Unmarshal(text, &in); err != nil {
 		return out, fmt.Errorf("settings: %w", err)
 	}
+	ask, ok := asks[in.Discovery]
+	if !ok {
+		return out, fmt.Errorf("settings: discovery: unknown way %q", in.Discovery)
+	}
 	out = lynxspool.Settings{
 		Instances: in.Balancers, Rank: in.Rank, Step: in.Step.span(),
 		MaxAttempts: in.Caps.MaxAttempts, Cancel: in.Caps.Cancel, OverQuotaWorth: in.OverShare,
-		Ask: in.Discovery == "subscribe", AskWithin: in.Obligations.AskWithin.span(),
+		Ask: ask, AskWithin: in.Obligations.AskWithin.span(),
 		ColdFrom: in.Obligations.ColdFrom, WarmAfter: in.Obligations.WarmAfter.span(),
 		OverloadFactor: in.Obligations.OverloadFactor, Fall: in.Obligations.Fall.span(),
 	}
