--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -71,11 +73,7 @@
 		g.server.conns[c] = cs
 	}
 	g.server.mu.Unlock()
-	ended := make(chan struct{})
-	go func() {
-		g.server.Shutdown()
-		close(ended)
-	}()
+	ended := g.down()
 	until(t, "the listener is closed", func() bool { return !g.server.accepting.Load() })
 	fmt.Fprint(c, head("POST /api/1 HTTP/1.1", "i", "Content-Length: 0\r\n"))
 	wantLast(t, bufio.NewReader(c))
@@ -113,14 +111,144 @@
 		g := startGateway(t, testConfig(host))
 		c := g.open(head("POST /api/1 HTTP/1.1", "i", "Content-Length: 0\r\n"))
 		until(t, "the host has the request", func() bool { n, _, _ := host.counts(); return n == 1 })
-		ended := make(chan struct{})
-		go func() {
-			g.server.Shutdown()
-			close(ended)
-		}()
+		ended := g.down()
 		until(t, name, func() bool { return phase(g.server) })
 		close(release)
 		wantLast(t, bufio.NewReader(c))
 		<-ended
 	}
 }
+
+// down runs Shutdown beside the test and returns when service has begun to end.
+func (g *testGateway) down() (ended chan struct{}) {
+	ended = make(chan struct{})
+	go func() {
+		g.server.Shutdown()
+		close(ended)
+	}()
+	until(g.T, "the end is told", func() bool { return g.server.stopping.Load() })
+	return ended
+}
+
+// wantWhole reads a whole answer and returns its status and body.
+func wantWhole(t *testing.T, what string, in *bufio.Reader) (int, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Errorf("%s: %v", what, err)
+		return 0, ""
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Errorf("%s: %v after %d bytes", what, err, len(body))
+	}
+	return resp.StatusCode, string(body)
+}
+
+// Whatever a request was doing when the end was told, it gets one whole answer: waiting for a
+// host, half sent, whole but for its last byte, or half answered.
+func TestEveryRequestThatIsOutGetsOneWholeAnswer(t *testing.T) {
+	more := make(chan struct{})
+	long := string(text(200_000))
+	host := newHost(t, func(c net.Conn, r *http.Request, _ int) bool {
+		if r.Header.Get("X-Request-ID") != "long" {
+			io.WriteString(c, good)
+			return true
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long[:70_000])
+		<-more
+		io.WriteString(c, long[70_000:])
+		return true
+	})
+	g := startGateway(t, testConfig(host))
+	streamed := g.open(head("POST /api/1 HTTP/1.1", "long", "Content-Length: 0\r\n"))
+	first := make([]byte, 30)
+	if _, err := io.ReadFull(streamed, first); err != nil {
+		t.Fatal(err)
+	}
+	upload := g.open(head("POST /api/1 HTTP/1.1", "up", fmt.Sprintf("Content-Length: %d\r\n", len(long))) + long[:100_000])
+	almost := g.open(head("POST /api/1 HTTP/1.1", "almost", "Content-Length: 4\r\n") + "bod")
+	until(t, "two are with the module", func() bool { return g.openRequests() == 2 })
+
+	ended := g.down()
+	fmt.Fprint(upload, long[100_000:])
+	fmt.Fprint(almost, "y")
+	close(more)
+	for what, c := range map[string]net.Conn{"half sent": upload, "but for its last byte": almost} {
+		if status, body := wantWhole(t, what, bufio.NewReader(c)); status != 200 || body != "good" {
+			t.Errorf("%s: answer %d %q", what, status, body)
+		}
+	}
+	in := bufio.NewReader(io.MultiReader(strings.NewReader(string(first)), streamed))
+	if status, body := wantWhole(t, "half answered", in); status != 200 || body != long {
+		t.Errorf("half answered: answer %d, %d bytes", status, len(body))
+	}
+	<-ended
+	if n, _, _ := host.counts(); n != 3 {
+		t.Errorf("the host got %d requests", n)
+	}
+}
+
+// What waits for a host when the end is told is refused, as it was never sent on.
+func TestWhatWaitsIsRefusedBeforeTheEnd(t *testing.T) {
+	cfg := testConfig(newHost(t, says(good)))
+	cfg.Known.Servers[0].State = "draining"
+	g := startGateway(t, cfg)
+	c := g.open(head("POST /api/1 HTTP/1.1", "i", "Content-Length: 0\r\n"))
+	until(t, "it waits", func() bool { return g.openRequests() == 1 })
+	ended := g.down()
+	if status, _ := wantWhole(t, "waiting", bufio.NewReader(c)); status != http.StatusServiceUnavailable {
+		t.Errorf("answer %d", status)
+	}
+	<-ended
+}
+
+// Clients that rest on connections until these end, or come again at once on every one that
+// stays open, lose nothing: each request has one whole answer, or its connection ended without
+// a byte and the host never saw it.
+func TestClientsThatStayThroughTheEnd(t *testing.T) {
+	host := newHost(t, says(good))
+	g := startGateway(t, testConfig(host))
+	rests := g.open(head("POST /api/1 HTTP/1.1", "first", "Content-Length: 0\r\n"))
+	restsIn := bufio.NewReader(rests)
+	wantWhole(t, "the first of who rests", restsIn)
+	var wg sync.WaitGroup
+	var answered, unread atomic.Int64
+	const greedy = 8
+	for range greedy {
+		c := g.open("")
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			in := bufio.NewReader(c)
+			for {
+				if _, err := fmt.Fprint(c, head("POST /api/1 HTTP/1.1", "i", "Content-Length: 0\r\n")); err != nil {
+					return
+				}
+				if _, err := in.Peek(1); err != nil {
+					unread.Add(1)
+					return
+				}
+				resp, err := http.ReadResponse(in, nil)
+				if err == nil {
+					_, err = io.ReadAll(resp.Body)
+				}
+				if err != nil || resp.StatusCode != 200 {
+					t.Errorf("answer %v, %v", resp, err)
+					return
+				}
+				answered.Add(1)
+			}
+		}()
+	}
+	until(t, "all have come again", func() bool { return answered.Load() > 10*greedy })
+	ended := g.down()
+	wg.Wait()
+	<-ended
+	if n, err := restsIn.Read(make([]byte, 1)); n > 0 || err != io.EOF {
+		t.Errorf("who rests got %d bytes, %v", n, err)
+	}
+	if n, _, _ := host.counts(); int64(n) != answered.Load()+1 {
+		t.Errorf("the host got %d requests, %d and the first were answered, %d never read", n, answered.Load(), unread.Load())
+	}
+}
