Play drains through silence, resets, an outage and a new configuration in a test

Need: nothing new to a host that drains right after all watches fell silent or were reset, after discovery came back, or with a new configuration.

A registry on a real socket tells, falls silent, resets its watches, goes down and comes back, or moves, twice each, lists pushed and asked for; once a drain is known the host gets none of twenty requests, and discovery at most 40 calls a fault.

--- /dev/null
+++ b/internal/gateway/drain_test.go
@@ -0,0 +1,206 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lynxspool"
+)
+
+// registry is a discovery service with a list of its own: each call gets the whole list as it
+// is, and then every change, unless the service was told to fall silent.
+type registry struct {
+	t  *testing.T
+	ln net.Listener
+
+	mu      sync.Mutex
+	version int
+	states  map[string]string // of hosts, by id
+	addrs   map[string]string
+	watches map[net.Conn]bool // that are told of changes
+	calls   int
+}
+
+func newRegistry(t *testing.T, hosts ...*testHost) *registry {
+	r := &registry{t: t, version: 50, states: map[string]string{}, addrs: map[string]string{}, watches: map[net.Conn]bool{}}
+	for i, h := range hosts {
+		id := "s-" + strconv.Itoa(i)
+		r.states[id], r.addrs[id] = "ready", h.addr()
+	}
+	r.up("127.0.0.84:0") // an address that no client here dials from, so that the port stays free
+	t.Cleanup(r.down)
+	return r
+}
+
+func (r *registry) up(addr string) {
+	ln := listen(r.t, addr, nil)
+	r.ln = ln
+	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.calls++
+		r.watches[c] = true
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		r.tell(c)
+	}))
+}
+
+// tell writes the whole list as one chunk; r.mu is held.
+func (r *registry) tell(c net.Conn) {
+	var list []string
+	for id, state := range r.states {
+		list = append(list, fmt.Sprintf(`{"id":%q,"addr":%q,"state":%q}`, id, r.addrs[id], state))
+	}
+	line := fmt.Sprintf(`{"version":%d,"full":true,"servers":[%s]}`+"\n", r.version, strings.Join(list, ","))
+	fmt.Fprintf(c, "%x\r\n%s\r\n", len(line), line)
+}
+
+// drain changes the state of a host, and tells those who are told of changes.
+func (r *registry) drain(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version++
+	r.states[id] = "draining"
+	for c := range r.watches {
+		r.tell(c)
+	}
+}
+
+// silence leaves the open watches open and untold from now on.
+func (r *registry) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.watches)
+}
+
+// reset resets the open watches.
+func (r *registry) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.watches {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	clear(r.watches)
+}
+
+func (r *registry) down() {
+	r.ln.Close()
+	r.reset()
+}
+
+func (r *registry) called() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.calls
+}
+
+// Hosts that begin to drain right after all watches fell silent or were reset, after discovery
+// came back, or with a new configuration get nothing new once the gateway could have been told.
+// Each fault comes twice, so that a way out that works once is not taken for enough.
+func TestDrainsAreHeardOfThroughTheFaultsOfDiscovery(t *testing.T) {
+	for name, fault := range map[string]func(r *registry, d *Discovery) *registry{
+		"silence": func(r *registry, _ *Discovery) *registry { r.silence(); return r },
+		"reset":   func(r *registry, _ *Discovery) *registry { r.reset(); return r },
+		"outage": func(r *registry, _ *Discovery) *registry {
+			addr := r.ln.Addr().String()
+			r.down()
+			r.up(addr)
+			return r
+		},
+		"a new configuration": func(r *registry, d *Discovery) *registry {
+			r.silence() // the old address says no more
+			moved := &registry{t: r.t, version: 1, states: r.states, addrs: r.addrs, watches: map[net.Conn]bool{}}
+			moved.up("127.0.0.84:0")
+			r.t.Cleanup(moved.down)
+			d.Move(moved.ln.Addr().String())
+			return moved
+		},
+	} {
+		for _, ask := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, asked for %t", name, ask), func(t *testing.T) {
+				t.Parallel()
+				drainThrough(t, ask, fault)
+			})
+		}
+	}
+}
+
+func drainThrough(t *testing.T, ask bool, fault func(r *registry, d *Discovery) *registry) {
+	hosts := []*testHost{newHost(t, says(good)), newHost(t, says(good)), newHost(t, says(good))}
+	cfg := testConfig(hosts...)
+	r := newRegistry(t, hosts...)
+	cfg.Discovery = r.ln.Addr().String()
+	cfg.Settings.Ask, cfg.Settings.AskWithin = ask, time.Second
+	ctx, cancel := context.WithCancel(context.Background())
+	pool := NewPool(cfg)
+	d := NewDiscovery(cfg)
+	d.silence = 300 * time.Millisecond
+	loop, err := NewLoop(cfg, pool, d.Watch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &testGateway{T: t, cfg: cfg, loop: loop, server: NewServer(cfg, loop), stop: cancel}
+	ln := listen(t, "127.0.0.1:0", nil)
+	g.url = "http://" + ln.Addr().String()
+	go loop.Run(ctx)
+	go g.server.Serve(ln)
+	loop.Members(lynxspool.ListSaved, cfg.Known)
+	done := make(chan struct{})
+	go func() {
+		d.Run(ctx, loop)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		g.server.http.Close()
+		cancel()
+		<-done
+		<-loop.done
+	})
+	until(t, "the list is heard", func() bool {
+		select {
+		case <-loop.Listed():
+			return true
+		default:
+			return false
+		}
+	})
+	usable := func(id string) (ok bool) {
+		known := make(chan bool, 1)
+		loop.post(func(lynxspool.Time) {
+			h := loop.hosts[hostID(id)]
+			known <- h != nil && h.usable.Load()
+		})
+		return <-known
+	}
+	for n := range 2 {
+		before := r.called()
+		r = fault(r, d)
+		id := "s-" + strconv.Itoa(n)
+		r.drain(id)
+		until(t, id+" is known to drain", func() bool { return !usable(id) })
+		old, _, _ := hosts[n].counts()
+		for range 20 {
+			if resp, body := g.ask("book", "/api/1", "b"); resp.StatusCode != 200 {
+				t.Errorf("answer %d %q", resp.StatusCode, body)
+			}
+		}
+		if now, _, _ := hosts[n].counts(); now != old {
+			t.Errorf("%s got %d requests after it was known to drain", id, now-old)
+		}
+		if calls := r.called() - before; calls > 40 {
+			t.Errorf("%d calls at discovery for one fault", calls)
+		}
+	}
+}
