Count a dial that took most of its request's time as one that could not connect

Need: dials that never come up are counted as "could not connect".

Cause: a dial that the request's own deadline ended was told to the module as NotSent, "the want is ours", which charges the host with nothing. Where deadlines are shorter than the dial's time-out (250 ms unless the settings say otherwise) and attempts are not called off, a host that answers no dial was never learnt of, and went on drawing requests.

One that had more than half of the request's time is ConnectFailed now: it proves that nothing ran and records the time it took. One that was begun with hardly any time left tells nothing of its host, as before. Test: dials at an address that answers none, ended by their own time, the request's, or a cancel; the second was NotSent before (seen to fail).

--- a/internal/gateway/host_test.go
+++ b/internal/gateway/host_test.go
@@ -270,14 +270,14 @@
 	}
 }
 
-// A machine that has vanished does not answer a dial: it must end by the dial's own
-// time-out, as proof that nothing ran.
-func TestSilentConnect(t *testing.T) {
+// silentAddr is an address that answers no dial, as a machine that has vanished.
+func silentAddr(t *testing.T) string {
+	t.Helper()
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer syscall.Close(fd)
+	t.Cleanup(func() { syscall.Close(fd) })
 	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
 		t.Fatal(err)
 	}
@@ -291,7 +291,7 @@
 	addr := (&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: name.(*syscall.SockaddrInet4).Port}).String()
 	// Nobody accepts, so once one connection is up the backlog is full.
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	t.Cleanup(cancel)
 	up := make(chan struct{}, 8)
 	for range cap(up) {
 		go func() {
@@ -303,10 +303,38 @@
 		}()
 	}
 	<-up
-	p := newTestPool()
-	p.dialer.Timeout = 100 * time.Millisecond
-	if got, _ := tryOnce(t, p, pooled(p, addr), newExchange("b")); got != lynxspool.ConnectFailed {
-		t.Errorf("result %v, want ConnectFailed", got)
+	return addr
+}
+
+// A machine that has vanished does not answer a dial: it must end by the dial's own time-out
+// or with the time of its request, whichever comes first, as proof that nothing ran. Nothing
+// of it is left over.
+func TestSilentConnect(t *testing.T) {
+	addr := silentAddr(t)
+	for name, c := range map[string]struct {
+		dial, request time.Duration
+		cause         error
+		want          lynxspool.Result
+	}{
+		"the dial's time":      {100 * time.Millisecond, patience, nil, lynxspool.ConnectFailed},
+		"the request's time":   {patience, 100 * time.Millisecond, context.DeadlineExceeded, lynxspool.ConnectFailed},
+		"no longer wanted":     {patience, 100 * time.Millisecond, context.Canceled, lynxspool.Canceled},
+		"hardly any time left": {patience, patience, context.DeadlineExceeded, lynxspool.NotSent},
+	} {
+		p, x := newTestPool(), newExchange("b")
+		p.dialer.Timeout, x.left = c.dial, c.request
+		h := pooled(p, addr)
+		ctx, cancel := context.WithCancelCause(context.Background())
+		if c.cause != nil {
+			time.AfterFunc(min(c.request, patience/100), func() { cancel(c.cause) })
+		}
+		if got, _ := p.attempt(ctx, h, x, newTry()); got != c.want {
+			t.Errorf("%s: result %v, want %v", name, got, c.want)
+		}
+		cancel(nil)
+		if open, idle := p.counts(h); open != 0 || idle != 0 {
+			t.Errorf("%s: %d connections are counted as open, %d as idle", name, open, idle)
+		}
 	}
 }
 
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -326,6 +326,7 @@
 // attempt is to be given up, by its deadline or by being called off.
 func (p *Pool) attempt(ctx context.Context, h *host, x *exchange, t *try) (lynxspool.Result, answer) {
 	for {
+		dialled := time.Now()
 		c, err := p.getBy(ctx, h, t.by)
 		switch {
 		case t.late():
@@ -336,6 +337,10 @@
 		case ctx.Err() != nil:
 			if err == nil {
 				p.put(c) // nothing was written to it
+			} else if context.Cause(ctx) == context.DeadlineExceeded && time.Since(dialled) > x.left/2 {
+				// The dial had most of the time that there was: the host could not be
+				// connected to, though the dial's own time-out is longer.
+				return lynxspool.ConnectFailed, answer{}
 			}
 			return unsent(ctx), answer{}
 		case err == errNoSockets || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE):
