--- a/internal/catalog/node.go
+++ b/internal/catalog/node.go
@@ -180,9 +180,6 @@
 	return err
 }
 
-// Store is the list this instance has applied.
-func (n *Node) Store() *Store { return n.store }
-
 // Stale says why reads here would not be current, or "" where they are: a follower
 // that has not heard from a leader for StaleAfter.
 func (n *Node) Stale() string {
--- a/internal/fleetlab/host.go
+++ b/internal/fleetlab/host.go
@@ -147,9 +147,6 @@
 	}
 }
 
-// Conns is how many connections it holds.
-func (h *Host) Conns() int { return h.conns }
-
 // Pending is how many requests it holds.
 func (h *Host) Pending() int { return h.held }
 
