Read lists from a watch as JSON, not by lines: they may be indented

Cause: the watch was read line by line and each line taken for a whole list. An indented one was garbled at its first line, the whole list was asked for anew, came indented again, and so on for good, with the gateway on the list that it had.

It is decoded as a stream of JSON values; what is only blank keeps the watch alive as the empty lines did, a list of more than 4 MB still ends it, and a connection that breaks off within a list resumes from the version before it. Test: five lists, three of them indented, as changes on one watch; each indented one was lost before (seen to fail).

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -31,7 +30,7 @@
 	watchDial    = time.Second
 	watchBackoff = 50 * time.Millisecond // before a new watch, doubled to watchMost
 	watchMost    = time.Second
-	maxLine      = 4 << 20 // a list of 2,000 hosts has 250 kB
+	maxList      = 4 << 20 // a list of 2,000 hosts has 250 kB
 	// A list older than ours is refused for this long; if every address still offers
 	// only older ones then, discovery has counted anew (a catalog rebuilt empty) and
 	// its whole list is taken: a fleet must not stay on a list of a catalog that is gone.
@@ -309,19 +308,28 @@
 	}
 	open = true
 	silence.Reset(d.silence)
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, maxLine)
-	for lines.Scan() {
+	in := &heedfulReader{from: resp.Body, heed: func() {
 		silence.Reset(d.silence)
 		heard, d.heard = true, time.Now()
-		if len(lines.Bytes()) == 0 {
-			continue
-		}
+	}}
+	lists := json.NewDecoder(in) // not by lines: a list may be indented
+	for {
 		var list MemberList
-		if err := json.Unmarshal(lines.Bytes(), &list); err != nil {
+		err := lists.Decode(&list)
+		in.taken = 0
+		switch {
+		case errors.Is(err, errTooMuch):
+			return heard, fmt.Errorf("discovery's list is longer than %d MB, ours is kept", maxList>>20)
+		case in.broke != nil:
+			return heard, in.broke
+		case err == io.EOF:
+			return heard, io.ErrUnexpectedEOF // a watch has no end of its own
+		case garbledList(err):
 			// What it said is lost, so the whole list is wanted.
 			d.version = 0
-			return false, fmt.Errorf("discovery's line: %w", err)
+			return false, fmt.Errorf("discovery's list: %w", err)
+		case err != nil:
+			return heard, err
 		}
 		if list.Version < d.version {
 			if d.behind.IsZero() {
@@ -343,10 +351,35 @@
 		d.version, d.listed = list.Version, true
 		loop.Members(kind, list)
 	}
-	if err := lines.Err(); errors.Is(err, bufio.ErrTooLong) {
-		return heard, fmt.Errorf("discovery's list is longer than %d MB, ours is kept", maxLine>>20)
-	} else if err != nil {
-		return heard, err
+}
+
+// heedfulReader tells of every read that brings something, and ends what brings too much.
+type heedfulReader struct {
+	from  io.Reader
+	heed  func()
+	taken int   // bytes since a list was read whole
+	broke error // what ended the connection, if that was no end in order
+}
+
+var errTooMuch = errors.New("too much")
+
+func (r *heedfulReader) Read(p []byte) (int, error) {
+	n, err := r.from.Read(p)
+	if n > 0 {
+		r.heed()
+	}
+	if err != io.EOF {
+		r.broke = err
+	}
+	if r.taken += n; r.taken > maxList {
+		return 0, errTooMuch
 	}
-	return heard, io.ErrUnexpectedEOF // a watch has no end of its own
+	return n, err
+}
+
+// garbledList says whether what came cannot be read as a list, or ended within one.
+func garbledList(err error) bool {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	return errors.As(err, &syntax) || errors.As(err, &kind) || errors.Is(err, io.ErrUnexpectedEOF)
 }
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -176,3 +178,49 @@
 		t.Errorf("%d calls before the module was told, want 2", n)
 	}
 }
+
+// A list may be indented, so that it stands on many lines, also among others that are not.
+func TestIndentedListIsRead(t *testing.T) {
+	var list MemberList
+	for i := range 3 {
+		list.Servers = append(list.Servers, Member{ID: fmt.Sprint("s-", i), Addr: "127.0.0.1:9", State: "ready"})
+	}
+	var served []byte
+	for version, indent := range []string{"", "  ", "\t", "", "    "} {
+		list.Version, list.Full = uint64(version+50), version == 0
+		line, err := json.Marshal(list)
+		if indent != "" {
+			line, err = json.MarshalIndent(list, "", indent)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		served = append(append(served, line...), "\n\n\n"...)
+	}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for _, b := range bytes.SplitAfter(served, []byte("\n")) {
+			w.Write(b)
+			w.(http.Flusher).Flush()
+		}
+		<-r.Context().Done()
+	}))
+	defer srv.Close()
+	told := make(lists, 8)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go NewDiscovery(&Config{Discovery: strings.TrimPrefix(srv.URL, "http://")}).Run(ctx, told)
+	for n := range 5 {
+		want := lynxspool.ListChanges
+		if n == 0 {
+			want = lynxspool.ListFull
+		}
+		select {
+		case kind := <-told:
+			if kind != want {
+				t.Errorf("list %d is told as of kind %v, want %v", n, kind, want)
+			}
+		case <-time.After(patience):
+			t.Fatalf("only %d lists are told", n)
+		}
+	}
+}
