--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -572,12 +572,13 @@
 	c.limit.N = maxHead
 	var resp *http.Response
 	for {
+		odd := c.chunksOfOld()
 		resp, err = http.ReadResponse(c.in, &http.Request{Method: method})
 		if err != nil && c.limit.N <= 0 {
 			return 0, a, false, errBadAnswer // a head without end
 		} else if err != nil {
 			return 0, a, false, err
-		} else if resp.ProtoMajor != 1 {
+		} else if resp.ProtoMajor != 1 || odd {
 			return 0, a, false, errBadAnswer // its framing is not that of its head
 		}
 		if resp.StatusCode >= 200 {
@@ -650,6 +651,28 @@
 	return resp.StatusCode, a, !resp.Close, nil
 }
 
+// chunksOfOld says whether the answer that comes next is one of HTTP/1.0 that names an
+// encoding: its framing is faulty, and ReadResponse drops the name, so that the chunk lines
+// would pass for its body. It looks at the head as far as the buffer holds it.
+func (c *conn) chunksOfOld() bool {
+	const old = "HTTP/1.0"
+	for n := range len(old) { // byte by byte: what is no HTTP may be shorter
+		if b, err := c.in.Peek(n + 1); err != nil || b[n] != old[n] {
+			return false
+		}
+	}
+	for n := 0; ; {
+		head, err := c.in.Peek(min(max(n+1, c.in.Buffered()), c.in.Size()))
+		if i := bytes.Index(head, []byte("\r\n\r\n")); i >= 0 || err != nil || len(head) == c.in.Size() {
+			if i >= 0 {
+				head = head[:i]
+			}
+			return bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding"))
+		}
+		n = len(head)
+	}
+}
+
 // more waits until there is more to read of an answer, or it has ended, and says whether
 // that is so by then. A connection tells that it was reset just once, and a read after that
 // finds an end in order; so the error is the caller's to heed.
