Hold what comes late from a host off the next answer in a test

Need: a second answer some milliseconds late, half a line or a byte on a resting connection poisons no other request.

--- a/internal/gateway/host_test.go
+++ b/internal/gateway/host_test.go
@@ -437,6 +437,42 @@
 
 // Handshakes cost hosts work: the warmest idle connection is used again, and the
 // coldest is left to be closed.
+// So it is with a second answer that comes late, with half a line and with a single byte: what
+// a host says on a resting connection spoils neither the last answer nor the next.
+func TestWhatComesLateSpoilsNoOtherAnswer(t *testing.T) {
+	for name, more := range map[string]string{
+		"a second answer": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate",
+		"half a line":     "HTTP/1.1 200 O",
+		"a byte":          "\x00",
+	} {
+		late := make(chan struct{})
+		host := newHost(t, func(c net.Conn, _ *http.Request, n int) bool {
+			io.WriteString(c, good)
+			if n == 0 {
+				<-late
+				io.WriteString(c, more)
+			}
+			return true
+		})
+		p := newTestPool()
+		h := pooled(p, host.addr())
+		if got, a := tryOnce(t, p, h, newExchange("b")); got != lynxspool.OK || string(a.body) != "good" {
+			t.Errorf("%s: result %v, %q", name, got, a.body)
+		}
+		p.mu.Lock()
+		c := p.idle[h][0]
+		p.mu.Unlock()
+		close(late)
+		until(t, name+" is there", func() bool { return !c.quiet() })
+		if got, a := tryOnce(t, p, h, newExchange("b")); got != lynxspool.OK || string(a.body) != "good" {
+			t.Errorf("%s: the next has result %v, %q", name, got, a.body)
+		}
+		if open, idle := p.counts(h); open != 1 || idle != 1 {
+			t.Errorf("%s: %d connections open, %d idle", name, open, idle)
+		}
+	}
+}
+
 func TestWarmestConnectionIsReused(t *testing.T) {
 	p, server := newTestPool(), newHost(t, says(good))
 	h := pooled(p, server.addr())
