Give the lab's default class and kind of host names of no deployment

Need: nothing in the program is fitted to one deployment; a search for its names found these two defaults of the fleet lab and nothing else. A test's own start of a gateway goes to the shared one (duplicates named it).

--- a/internal/fleetlab/scenario.go
+++ b/internal/fleetlab/scenario.go
@@ -163,7 +163,7 @@
 func defaultClasses() []Class {
 	ms := func(n int) Duration { return Duration(time.Duration(n) * time.Millisecond) }
 	return []Class{
-		{Name: "search", Share: 0.5, Work: ms(10), Waits: ms(30), Aim: ms(300), Deadline: ms(1200), Effect: "idempotent", Worth: 2},
+		{Name: "look", Share: 0.5, Work: ms(10), Waits: ms(30), Aim: ms(300), Deadline: ms(1200), Effect: "idempotent", Worth: 2},
 		{Name: "save", Share: 0.5, Work: ms(10), Waits: ms(30), Aim: ms(800), Deadline: ms(4000), Effect: "at_most_once", Worth: 5},
 	}
 }
@@ -210,7 +210,7 @@
 			h.Speed = 1
 		}
 		if h.Kind == "" {
-			h.Kind = "std-1"
+			h.Kind = "host"
 		}
 		if h.Zone == "" {
 			h.Zone = "a"
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -144,30 +144,16 @@
 	cfg.Discovery = r.ln.Addr().String()
 	cfg.Settings.Ask, cfg.Settings.AskWithin = ask, time.Second
 	ctx, cancel := context.WithCancel(context.Background())
-	pool := NewPool(cfg)
 	d := NewDiscovery(cfg)
 	d.silence = 300 * time.Millisecond
-	loop, err := NewLoop(cfg, pool, d.Watch)
-	if err != nil {
-		t.Fatal(err)
-	}
-	g := &testGateway{T: t, cfg: cfg, loop: loop, server: NewServer(cfg, loop), stop: cancel}
-	ln := listen(t, "127.0.0.1:0", nil)
-	g.url = "http://" + ln.Addr().String()
-	go loop.Run(ctx)
-	go g.server.Serve(ln)
-	loop.Members(lynxspool.ListSaved, cfg.Known)
+	g := startWatching(t, cfg, d.Watch)
+	loop := g.loop
 	done := make(chan struct{})
 	go func() {
 		d.Run(ctx, loop)
 		close(done)
 	}()
-	t.Cleanup(func() {
-		g.server.http.Close()
-		cancel()
-		<-done
-		<-loop.done
-	})
+	t.Cleanup(func() { cancel(); <-done })
 	until(t, "the list is heard", func() bool {
 		select {
 		case <-loop.Listed():
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -54,10 +54,16 @@
 }
 
 func startGateway(t *testing.T, cfg *Config) *testGateway {
+	t.Helper()
+	return startWatching(t, cfg, func() {})
+}
+
+// startWatching starts a gateway that calls watch where the list must be asked for.
+func startWatching(t *testing.T, cfg *Config, watch func()) *testGateway {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	pool := NewPool(cfg)
-	loop, err := NewLoop(cfg, pool, func() {})
+	loop, err := NewLoop(cfg, pool, watch)
 	if err != nil {
 		t.Fatal(err)
 	}
