Wait at the end for the connection that the accept loop has in hand

Need: listening sockets and their accept queue; the instant in which the listener closes.

Cause: Shutdown closes the listener and ends once no tracked connection holds a request. One that accept had just returned is tracked only when the accept loop goes on, which on a core that others hold may be later; the process ended and its request got no answer.

Service ends only once Serve has returned as well. Test: a listener that hands a connection over on cue, after the close; "service has ended with a connection in hand" before (seen to fail), served now.

--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -48,7 +48,8 @@
 		(*ln).Close()
 	}
 	s.closeIdle()
-	for gone := s.exitAt.Add(writeMargin); !s.finish() && time.Now().Before(gone); {
+	// Once Serve has returned, whatever it accepted is counted as connected.
+	for gone := s.exitAt.Add(writeMargin); (s.accepting.Load() || !s.finish()) && time.Now().Before(gone); {
 		<-tick.C
 	}
 }
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -252,3 +252,47 @@
 		t.Errorf("the host got %d requests, %d and the first were answered, %d never read", n, answered.Load(), unread.Load())
 	}
 }
+
+// heldListener hands over a connection only when it is let, as on a core that others hold.
+type heldListener struct {
+	net.Listener
+	has, let chan struct{}
+}
+
+func (l heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		close(l.has)
+		<-l.let
+	}
+	return c, err
+}
+
+// A connection that was taken from the accept queue in the moment in which the listener closed
+// is served, too.
+func TestConnectionAcceptedAsTheListenerCloses(t *testing.T) {
+	host := newHost(t, says(good))
+	g := startGateway(t, testConfig(host))
+	until(t, "the first listener is there", func() bool { return g.server.accepting.Load() })
+	held := heldListener{listen(t, "127.0.0.1:0", nil), make(chan struct{}), make(chan struct{})}
+	(*g.server.ln.Load()).Close()
+	until(t, "it has gone", func() bool { return !g.server.accepting.Load() })
+	go g.server.Serve(held)
+	g.url = "http://" + held.Addr().String()
+	c := g.open(head("POST /api/1 HTTP/1.1", "i", "Content-Length: 0\r\n"))
+	<-held.has
+	ended := g.down()
+	until(t, "idle connections are closed", func() bool {
+		g.server.mu.Lock()
+		defer g.server.mu.Unlock()
+		return g.server.leaving
+	})
+	select {
+	case <-ended:
+		t.Error("service has ended with a connection in hand")
+	case <-time.After(50 * time.Millisecond): // several looks at what is left
+	}
+	close(held.let)
+	wantLast(t, bufio.NewReader(c))
+	<-ended
+}
