Find a silent watch after 3 s, so that calls that wait their turn come in time

All six gateways log "discovery is silent" between 18.043 and 18.075 s, 6 s after their last line, and call at once. A call costs 104 lines of 200 a second, 0.52 s, and calls are served in turn: the sixth has its list 3.1 s later, at 21.2 s. The first send to the host out of time came at 20.102 s. Ruled out: slots and back-off (each called at once, none was refused), parsing and the loop (the line and the call are 10 ms apart), repeats, queued requests and late connections (all look at usable before they write, hosts.go attempt). At fault: watchSilence = 6 s in discovery.go, which spends the whole clock on noticing.

Change: a watch is silent after SilentAfter, 3 s (a line is due every 2 s), which leaves the other half of the clock for the calls. A call without an answer is given up as soon, and as it may have waited its turn at a slow discovery, the one after it may take twice as long.

--- a/internal/fleetlab/listservice.go
+++ b/internal/fleetlab/listservice.go
@@ -19,7 +19,7 @@
 // watchSilence is how long a gateway waits on a watch that says nothing (the gateway's
 // own figure), watchDial how long for a connection.
 const (
-	watchSilence = 6 * time.Second
+	watchSilence = lynxspool.SilentAfter
 	watchDial    = time.Second
 )
 
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -21,9 +21,6 @@
 const (
 	pathMembers = "/catalog/members"
 
-	// While nothing changes a line comes every 2 s: with three missing, the watch is
-	// taken for dead.
-	watchSilence = 6 * time.Second
 	// An instance answers a call within a second or turns it away; one that is cut off
 	// says nothing.
 	callSilence  = 2 * time.Second
@@ -74,8 +71,9 @@
 	ask     bool          // a watch begins only when the module asks for it
 	asked   chan struct{}
 	version uint64 // of the list as told to the loop; belongs to Run
+	waited  int    // calls in a row that went without an answer; belongs to Run
 	client  http.Client
-	silence time.Duration // after which a watch is taken for dead
+	silence time.Duration // after which a watch is taken for dead, and a call without an answer
 	answer  time.Duration // ... and a call without an answer, where another instance may be well
 	heard   time.Time     // when discovery last said anything; belongs to Run
 	behind  time.Time     // since when lists older than ours were offered; belongs to Run
@@ -120,7 +118,7 @@
 	return &Discovery{
 		addrs: splitAddrs(cfg.Discovery), moved: make(chan struct{}, 1), heard: time.Now(),
 		ask: cfg.Settings.Ask, asked: make(chan struct{}, 1), version: cfg.Known.Version,
-		silence: watchSilence, answer: callSilence, listed: len(cfg.Known.Servers) > 0, within: cfg.Settings.AskWithin,
+		silence: lynxspool.SilentAfter, answer: callSilence, listed: len(cfg.Known.Servers) > 0, within: cfg.Settings.AskWithin,
 		client: http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: watchDial}).DialContext, DisableKeepAlives: true,
 		}},
@@ -257,6 +255,17 @@
 	d.resting = time.Now().Add(min(wait+rand.N(wait/4+1), within))
 }
 
+// answerIn is how long a call may go without an answer. One that had none may have waited
+// its turn at a busy discovery, so the next is given longer.
+func (d *Discovery) answerIn() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.addrs) > 1 {
+		return min(d.silence, d.answer)
+	}
+	return d.silence << min(d.waited, 1)
+}
+
 // jitter draws a wait from 0 to 2d ("full jitter" over twice the step, so that the
 // mean wait is the step): gateways that lost discovery together must not come back
 // to it together, and a fleet's calls at a discovery that has too many callers are no
@@ -268,13 +277,7 @@
 func (d *Discovery) watch(ctx context.Context, loop Lister) (heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	d.mu.Lock()
-	first := d.silence
-	if len(d.addrs) > 1 {
-		first = min(first, d.answer)
-	}
-	d.mu.Unlock()
-	silence := time.AfterFunc(first, func() { cancel(errSilent) })
+	silence := time.AfterFunc(d.answerIn(), func() { cancel(errSilent) })
 	defer silence.Stop()
 	open := false // discovery has answered the call
 	defer func() {
@@ -298,6 +301,11 @@
 		req.Header.Set("X-Catalog-Have", strconv.FormatUint(d.version, 10))
 	}
 	resp, err := d.client.Do(req)
+	if context.Cause(ctx) == errSilent {
+		d.waited++
+	} else {
+		d.waited = 0
+	}
 	if err != nil {
 		return false, err
 	}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -37,6 +37,7 @@
 // it is asked for. Here an attempt writes its request whole once at most.
 type Pool struct {
 	dialer  net.Dialer
+	dial    func(ctx context.Context, network, addr string) (net.Conn, error) // the dialer's, but in tests without sockets
 	maxIdle time.Duration
 	limit   int // connections at most, all hosts together
 	kept    *budget
@@ -75,7 +76,7 @@
 
 // NewPool returns a Pool that keeps to the limits of cfg.
 func NewPool(cfg *Config) *Pool {
-	return &Pool{
+	p := &Pool{
 		dialer:  net.Dialer{Timeout: cfg.DialTimeout},
 		maxIdle: time.Duration(idleShare * float64(cfg.ConnIdle)),
 		limit:   cfg.Sockets * hostSockets / 100,
@@ -83,6 +84,8 @@
 		idle:    map[*host][]*conn{},
 		kept:    newBudget(cfg),
 	}
+	p.dial = p.dialer.DialContext
+	return p
 }
 
 // Overlap says whether another process serves beside this one: the two have the
@@ -230,7 +233,7 @@
 	p.open++
 	c := &conn{host: h, addr: h.addr, started: h.started}
 	p.mu.Unlock()
-	nc, err := p.dialer.DialContext(ctx, "tcp", c.addr)
+	nc, err := p.dial(ctx, "tcp", c.addr)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
