Heed a Retry-After no longer than half of the clock of the told, where there is a list

Need: a change counts as told 6 s after discovery had it and could be reached, also where a call was refused. A Retry-After was heeded up to the time that a list may go unasked, 10 s by default: on a fake clock a gateway that was told to rest for 30 s sent to a host 10.4 s after it had begun to drain.

Change: who has a list rests 3 s at the most, half of the clock, so that a call comes in the other half.

Test: TestNothingIsSentOnceADrainCountsAsTold, a table of what can go wrong with discovery, of how requests come to be sent, and of lists asked for and pushed, on a fake clock. Its four cases of an asked list with a Retry-After fail without the change. TestRetryAfterIsHeededWithinBounds has the new bound beside the old one.

--- a/internal/fleetlab/vgateway.go
+++ b/internal/fleetlab/vgateway.go
@@ -250,8 +250,12 @@
 	}
 	g.watch = nil
 	g.cat++
-	if x.rest > 0 { // by up to a quarter more, as the gateway's client does
-		g.resting = g.w.now + min(time.Duration(float64(x.rest)*(1+g.w.wait.Float64()/4)), g.w.s.Catalog.AskWithin.std())
+	if x.rest > 0 { // as the gateway's client does
+		most := g.w.s.Catalog.AskWithin.std()
+		if g.version > 0 {
+			most = min(most, lynxspool.AskMost)
+		}
+		g.resting = g.w.now + min(time.Duration(float64(x.rest)*(1+g.w.wait.Float64()/4)), most)
 	}
 	if g.tried++; !x.open && g.tried < len(g.w.cats) && g.w.now >= g.resting {
 		g.call() // another instance may be well
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -232,8 +233,8 @@
 	}
 }
 
-// rest heeds a Retry-After, in seconds, by up to a quarter more so that those who were told
-// one time do not meet. One that is no such number is ignored, one beyond within is cut.
+// rest heeds a Retry-After, in seconds, as long as the module allows. One that is no such
+// number is ignored, one that is longer is cut.
 func (d *Discovery) rest(retryAfter string) {
 	if retryAfter == "" {
 		return
@@ -243,16 +244,15 @@
 		slog.Warn("discovery's Retry-After is no number of seconds, ignored", "value", retryAfter[:min(len(retryAfter), 40)])
 		return
 	}
-	within := d.within
-	if within <= 0 {
-		within = ageEvery
+	asked := time.Duration(math.MaxInt64)
+	if s < asked.Seconds() {
+		asked = time.Duration(s * float64(time.Second))
 	}
-	if s > within.Seconds() {
-		slog.Warn("discovery's Retry-After is longer than a list may go unasked, cut", "value", retryAfter[:min(len(retryAfter), 40)])
-		s = within.Seconds()
+	wait := d.restFor(asked, rand.Float64())
+	if wait < asked {
+		slog.Warn("discovery's Retry-After is longer than changes may go unheard, cut", "value", retryAfter[:min(len(retryAfter), 40)])
 	}
-	wait := time.Duration(s * float64(time.Second))
-	d.resting = time.Now().Add(min(wait+rand.N(wait/4+1), within))
+	d.resting = time.Now().Add(wait)
 }
 
 // answerIn is how long a call may go without an answer. One that had none may have waited
@@ -266,6 +266,21 @@
 	return d.silence << min(d.waited, 1)
 }
 
+// restFor is how long discovery is left alone that asks for it: up to a quarter more, as
+// jitter says, so that those who were told one time do not meet, but not longer than a list
+// may go unasked; who has a list keeps to the clock of the told.
+func (d *Discovery) restFor(asked time.Duration, jitter float64) time.Duration {
+	most := d.within
+	if most <= 0 {
+		most = ageEvery
+	}
+	if d.listed {
+		most = min(most, lynxspool.AskMost)
+	}
+	asked = min(asked, most)
+	return min(asked+time.Duration(jitter/4*float64(asked)), most)
+}
+
 // jitter draws a wait from 0 to 2d ("full jitter" over twice the step, so that the
 // mean wait is the step): gateways that lost discovery together must not come back
 // to it together, and a fleet's calls at a discovery that has too many callers are no
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -22,17 +22,23 @@
 func (l lists) Members(kind lynxspool.ListKind, _ MemberList) { l <- kind }
 
 // A time to come back at is heeded with a little added by chance, never beyond what a list
-// may go unasked; what is no such time is ignored.
+// may go unasked, nor with a list beyond half of the clock of the told; what is no such time
+// is ignored.
 func TestRetryAfterIsHeededWithinBounds(t *testing.T) {
+	const second = time.Second
 	for _, c := range []struct {
 		value    string
+		listed   bool // there is a list, of which changes are to be heard in time
 		from, to time.Duration
 	}{
-		{"", 0, 0}, {"soon", 0, 0}, {"-3", 0, 0}, {"NaN", 0, 0}, {"Wed, 21 Oct 2026 07:28:00 GMT", 0, 0},
-		{"2", 2 * time.Second, 2500 * time.Millisecond}, {"0.25", 250 * time.Millisecond, 320 * time.Millisecond},
-		{"99999999999999999999", 10 * time.Second, 10 * time.Second}, {"Inf", 10 * time.Second, 10 * time.Second},
+		{"", false, 0, 0}, {"soon", false, 0, 0}, {"-3", false, 0, 0}, {"NaN", false, 0, 0},
+		{"Wed, 21 Oct 2026 07:28:00 GMT", false, 0, 0},
+		{"2", false, 2 * second, 5 * second / 2}, {"0.25", false, second / 4, 320 * time.Millisecond},
+		{"99999999999999999999", false, 10 * second, 10 * second}, {"Inf", false, 10 * second, 10 * second},
+		{"", true, 0, 0}, {"NaN", true, 0, 0}, {"2", true, 2 * second, 5 * second / 2}, {"4", true, 3 * second, 3 * second},
+		{"99999999999999999999", true, 3 * second, 3 * second}, {"Inf", true, 3 * second, 3 * second},
 	} {
-		d := &Discovery{within: 10 * time.Second}
+		d := &Discovery{within: 10 * time.Second, listed: c.listed}
 		before := time.Now()
 		d.rest(c.value)
 		if c.to == 0 {
@@ -42,7 +48,7 @@
 			continue
 		}
 		if wait := d.resting.Sub(before); wait < c.from || wait > c.to+time.Second { // the look at the clock may come late
-			t.Errorf("%q: rests %v, want %v to %v", c.value, wait, c.from, c.to)
+			t.Errorf("%q, with a list %t: rests %v, want %v to %v", c.value, c.listed, wait, c.from, c.to)
 		}
 	}
 }
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -440,3 +440,163 @@
 		}
 	}
 }
+
+// fault is what goes wrong with discovery at an instant, at which the host also begins to
+// drain; back is from when on the change could be had there.
+type fault struct {
+	name string
+	do   func(g *bubbleGateway, d *bubbleDiscovery) (now *bubbleDiscovery)
+	back time.Duration
+	// When the change counts as told, after back, with a list that is asked for and with one
+	// that is pushed. It is pushed by the gateway's own agent, so there a change counts at once
+	// unless a call failed or a watch is silent.
+	asked, pushed time.Duration
+}
+
+const atOnce = 0
+
+var faults = []fault{
+	{name: "silent after a line", asked: lynxspool.ToldAfter, pushed: lynxspool.ToldAfter,
+		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery {
+			d.line()
+			synctest.Wait()
+			d.silence()
+			return d
+		}},
+	{name: "silent before the first line", back: 4 * time.Second, asked: lynxspool.ToldAfter, pushed: lynxspool.ToldAfter,
+		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery {
+			d.will(callMute) // the call that is mute opens within 4 s, and its silence begins then
+			d.end()
+			return d
+		}},
+	{name: "reset", asked: lynxspool.ToldAfter, pushed: atOnce,
+		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery { d.end(); return d }},
+	{name: "ended", asked: lynxspool.ToldAfter, pushed: atOnce,
+		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery { d.finish(); return d }},
+	{name: "503", asked: lynxspool.ToldAfter, pushed: lynxspool.ToldAfter,
+		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery { d.will(callBusy); d.end(); return d }},
+	{name: "Retry-After", asked: lynxspool.ToldAfter, pushed: lynxspool.ToldAfter,
+		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery { d.will(callRest); d.end(); return d }},
+	{name: "unanswered", asked: lynxspool.ToldAfter, pushed: lynxspool.ToldAfter,
+		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery { d.will(callUnanswered); d.end(); return d }},
+	{name: "a dial that hangs", asked: lynxspool.ToldAfter, pushed: lynxspool.ToldAfter,
+		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery {
+			d.net.delay(d.addr, time.Hour)
+			d.end()
+			time.AfterFunc(time.Second, func() { d.net.delay(d.addr, 0) })
+			return d
+		}},
+	{name: "outage and return", back: 8 * time.Second, asked: lynxspool.ToldAfter, pushed: atOnce,
+		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery {
+			d.down()
+			time.AfterFunc(8*time.Second, d.up)
+			return d
+		}},
+	{name: "moved by SIGHUP", asked: 4 * time.Second, pushed: 4 * time.Second,
+		do: func(g *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery {
+			d.silence() // the old address says no more
+			moved := newBubbleDiscovery(d.net, "elsewhere:80", d.hosts)
+			moved.version = 7 // it counts by itself
+			moved.will(callUnanswered)
+			g.d.Move(moved.addr)
+			return moved
+		}},
+	{name: "a whole list without the host", asked: lynxspool.ToldAfter, pushed: atOnce,
+		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery { d.omits = true; d.end(); return d }},
+}
+
+// traffic is how requests come to the hosts while that happens.
+type traffic struct {
+	name  string
+	shape func(n *bubbleNet, hosts []*bubbleHost)
+}
+
+var traffics = []traffic{
+	{"idle hosts", func(*bubbleNet, []*bubbleHost) {}},
+	{"requests that wait for hosts", func(_ *bubbleNet, hosts []*bubbleHost) {
+		for _, h := range hosts { // each holds some from the first moment on, up to its limit
+			h.work = 600 * time.Millisecond
+		}
+	}},
+	{"connections that come up late", func(n *bubbleNet, hosts []*bubbleHost) {
+		for _, h := range hosts {
+			n.delay(h.addr, 900*time.Millisecond)
+		}
+	}},
+	{"repeats", func(_ *bubbleNet, hosts []*bubbleHost) {
+		for _, h := range hosts[1:] { // what they fail comes to the first
+			h.answer = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+		}
+	}},
+}
+
+// Whatever goes wrong with discovery, and however a request comes to be sent, a host that has
+// begun to drain gets nothing new from the grace on after that counts as told; the others are
+// used, and discovery gets few calls for it.
+func TestNothingIsSentOnceADrainCountsAsTold(t *testing.T) {
+	for _, f := range faults {
+		for _, l := range traffics {
+			for _, ask := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s, %s, asked for %t", f.name, l.name, ask), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { drainInTime(t, f, l, ask) })
+				})
+			}
+		}
+	}
+}
+
+func drainInTime(t *testing.T, f fault, l traffic, ask bool) {
+	n := newBubbleNet()
+	hosts := bubbleHosts(n, 3)
+	l.shape(n, hosts)
+	disco := newBubbleDiscovery(n, "discovery:80", hosts)
+	ctx, cancel := context.WithCancel(t.Context())
+	g := startBubble(t, ctx, n, bubbleConfig(ask, 6, 3, disco.addr, hosts))
+	discos := []*bubbleDiscovery{disco}
+	defer func() { settle(cancel, discos...) }()
+	stop := make(chan struct{})
+	go func() {
+		tick := time.NewTicker(25 * time.Millisecond)
+		defer tick.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-tick.C:
+				g.send(i)
+			}
+		}
+	}()
+	defer close(stop)
+	time.Sleep(5 * time.Second)
+	began := time.Now()
+	if hosts[0].between(began.Add(-time.Second), began) == 0 {
+		t.Fatal("the host got nothing in the second before it began to drain")
+	}
+	before := len(disco.calls)
+	now := f.do(g, disco)
+	if now != disco {
+		discos = append(discos, now)
+		before = 0
+	}
+	now.drain("s-0")
+	told := f.back + f.pushed
+	if ask {
+		told = f.back + f.asked
+	}
+	time.Sleep(told + 10*time.Second)
+	if last := hosts[0].last().Sub(began); last > told+drainGrace {
+		t.Errorf("the last request goes to the host %v after it began to drain, which counts as told after %v", last, told)
+	}
+	if end := time.Now(); hosts[1].between(end.Add(-2*time.Second), end)+hosts[2].between(end.Add(-2*time.Second), end) == 0 {
+		t.Error("the hosts that are ready get nothing")
+	}
+	// While calls fail: two a second of a small bank that asks, three of one with agents.
+	most := 4 + int(2*f.back.Seconds())
+	if !ask {
+		most = 10 + int(3*f.back.Seconds())
+	}
+	if calls := len(now.calls) - before; calls > most {
+		t.Errorf("%d calls at discovery, %d at the most", calls, most)
+	}
+}
