Follow a discovery that counts its versions anew within the clock of the told

Need: a list with a lower version than ours was refused for 30 s. Where discovery came back counting anew, what it has counts as told 6 s later: on a fake clock a gateway sent to a host for all the 16 s that were looked at (asked and pushed). Found by reading; no play showed it.

Change: an older list is refused for 1.5 s, in which every other instance is called, and asked for whole in the next call; then it is followed. A new address begins with no such doubts, and without the rest that the old one asked for. Kept apart: what is garbled wants the whole list as well, but forgets our version no more.

Test: the eight cases "version counted anew" of TestNothingIsSentOnceADrainCountsAsTold fail without the change; TestOlderListRefusedAtTheNextInstance holds as it was.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -31,8 +31,8 @@
 	maxList      = 4 << 20 // a list of 2,000 hosts has 250 kB
 	// A list older than ours is refused for this long; if every address still offers
 	// only older ones then, discovery has counted anew (a catalog rebuilt empty) and
-	// its whole list is taken: a fleet must not stay on a list of a catalog that is gone.
-	resetAfter = 30 * time.Second
+	// its whole list is taken: what it has counts as told, whatever its number.
+	resetAfter = lynxspool.ToldAfter / 4
 	// While discovery is down, how often the age of the list in use is logged.
 	ageEvery = 10 * time.Second
 )
@@ -72,6 +72,7 @@
 	ask     bool          // a watch begins only when the module asks for it
 	asked   chan struct{}
 	version uint64 // of the list as told to the loop; belongs to Run
+	anew    bool   // the whole list is wanted, whatever we have; belongs to Run
 	waited  int    // calls in a row that went without an answer; belongs to Run
 	client  http.Client
 	silence time.Duration // after which a watch is taken for dead, and a call without an answer
@@ -304,10 +305,15 @@
 	addr := d.addrs[d.at]
 	d.cancel = cancel
 	if d.fresh {
-		d.fresh, d.version = false, 0 // another discovery may count its versions anew
+		// Another discovery may count its versions anew, and has its own cares.
+		d.fresh, d.version, d.behind, d.resting, d.waited = false, 0, time.Time{}, time.Time{}, 0
 	}
 	d.mu.Unlock()
-	url := "http://" + addr + pathMembers + "?stream=1&index=" + strconv.FormatUint(d.version, 10)
+	index := d.version
+	if d.anew {
+		index = 0
+	}
+	url := "http://" + addr + pathMembers + "?stream=1&index=" + strconv.FormatUint(index, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false, err
@@ -348,8 +354,7 @@
 		case err == io.EOF:
 			return heard, io.ErrUnexpectedEOF // a watch has no end of its own
 		case garbledList(err):
-			// What it said is lost, so the whole list is wanted.
-			d.version = 0
+			d.anew = true // what it said is lost
 			return false, fmt.Errorf("discovery's list: %w", err)
 		case err != nil:
 			return heard, err
@@ -359,14 +364,12 @@
 				d.behind = time.Now()
 			}
 			if time.Since(d.behind) < resetAfter || !list.Full {
-				if !list.Full && time.Since(d.behind) >= resetAfter {
-					d.version = 0 // the whole list of the new count is wanted
-				}
+				d.anew = true // if it counts anew, what we have is no part of its count
 				return false, fmt.Errorf("%w: %d, ours %d", errBehind, list.Version, d.version)
 			}
 			slog.Error("discovery counts anew: its whole list is taken", "version", list.Version, "ours", d.version)
 		}
-		d.behind = time.Time{}
+		d.behind, d.anew = time.Time{}, false
 		kind := lynxspool.ListChanges
 		if list.Full {
 			kind = lynxspool.ListFull
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -501,6 +501,14 @@
 			g.d.Move(moved.addr)
 			return moved
 		}},
+	{name: "version counted anew", asked: lynxspool.ToldAfter, pushed: lynxspool.ToldAfter,
+		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery {
+			d.mu.Lock()
+			d.version = 1
+			d.mu.Unlock()
+			d.end()
+			return d
+		}},
 	{name: "a whole list without the host", asked: lynxspool.ToldAfter, pushed: atOnce,
 		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery { d.omits = true; d.end(); return d }},
 }
