Come back to an agent that was away within the grace, not after up to two seconds

Need: where lists are pushed, what the gateway's agent gets at the return of discovery counts as told at once, and sends stop a second later. The back-off went up to 1 s with a draw from 0 to twice that, and a dial that hangs took 1 s more: a call could come 2 s after the return.

Change: the longest wait is 600 ms (a draw from half to twice of 300 ms), a dial is given up after 500 ms. Lists that are asked for are not concerned, but for the dial.

Test: TestReturnOfAnAgentIsNoticedWithinTheGrace, outages of 0.5 to 15 s on a fake clock, fails without the change.

--- a/internal/fleetlab/listservice.go
+++ b/internal/fleetlab/listservice.go
@@ -20,7 +20,7 @@
 // own figure), watchDial how long for a connection.
 const (
 	watchSilence = lynxspool.SilentAfter
-	watchDial    = time.Second
+	watchDial    = 500 * time.Millisecond
 )
 
 // listService is one instance of the list service in the virtual engine: calls in turn,
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -24,10 +24,12 @@
 
 	// An instance answers a call within a second or turns it away; one that is cut off
 	// says nothing.
-	callSilence  = 2 * time.Second
-	watchDial    = time.Second
+	callSilence = 2 * time.Second
+	watchDial   = 500 * time.Millisecond
+	// Where lists are pushed, what the gateway's own agent has counts as told whether or
+	// not a watch is open: a new one is begun soon, and watchMost is half of the longest wait.
 	watchBackoff = 50 * time.Millisecond // before a new watch, doubled to watchMost
-	watchMost    = time.Second
+	watchMost    = 300 * time.Millisecond
 	maxList      = 4 << 20 // a list of 2,000 hosts has 250 kB
 	// A list older than ours is refused for this long; if every address still offers
 	// only older ones then, discovery has counted anew (a catalog rebuilt empty) and
@@ -155,7 +157,7 @@
 }
 
 // Run watches the list until ctx ends. A watch that breaks is begun anew at the next
-// address, after a capped exponential backoff with full jitter; where the module has
+// address, after a capped exponential backoff with jitter; where the module has
 // to ask, it is told instead and decides when. After a move a watch begins at once:
 // what was asked for stands. While no address answers, the loop keeps the last list
 // (fail-static) and its age is logged every ageEvery.
@@ -282,11 +284,9 @@
 	return min(asked+time.Duration(jitter/4*float64(asked)), most)
 }
 
-// jitter draws a wait from 0 to 2d ("full jitter" over twice the step, so that the
-// mean wait is the step): gateways that lost discovery together must not come back
-// to it together, and a fleet's calls at a discovery that has too many callers are no
-// more than with the half to one and a half of the step that was drawn before.
-func jitter(d time.Duration) time.Duration { return rand.N(2 * d) }
+// jitter draws a wait from half of d to twice d: gateways that lost discovery together must
+// not come back to it together.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(3*d/2) }
 
 // watch holds one watch until it ends and says whether it brought anything, or was open
 // when it fell silent.
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -608,3 +608,36 @@
 		t.Errorf("%d calls at discovery, %d at the most", calls, most)
 	}
 }
+
+// A list that is pushed is the gateway's own agent's, which learns nothing while discovery is
+// down; what it gets at the return counts as told at once. So however long it was down, the
+// gateway has it within the grace; and it does not call all the time meanwhile.
+func TestReturnOfAnAgentIsNoticedWithinTheGrace(t *testing.T) {
+	tries, without := 0, 0.0
+	for down := 500 * time.Millisecond; down < 15*time.Second; down += 490 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			n := newBubbleNet()
+			hosts := bubbleHosts(n, 2)
+			disco := newBubbleDiscovery(n, "discovery:80", hosts)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer settle(cancel, disco)
+			g := startBubble(t, ctx, n, bubbleConfig(false, 1, 0, disco.addr, hosts))
+			time.Sleep(time.Second)
+			disco.net.set(disco.addr, func(c net.Conn) { tries++; c.Close() }) // resets each call
+			disco.end()
+			disco.drain("s-0")
+			time.Sleep(down)
+			disco.up()
+			time.Sleep(drainGrace)
+			if g.usable("s-0") {
+				t.Errorf("after %v without discovery a drain is not heard of within the grace", down)
+			}
+			without += down.Seconds()
+		})
+	}
+	if a := float64(tries) / without; a > 3.5 {
+		t.Errorf("%.1f calls a second without discovery", a)
+	} else {
+		t.Logf("%.1f calls a second without discovery", a)
+	}
+}
