Share the time for calls out among the instances of discovery

Need: an instance that says nothing was left after 2 s, whatever their number: with four of five cut off the fifth was called after 8 s, later than a change counts as told.

Change: a call to one of several may go unanswered for its part of three quarters of the clock, 2 s at the most and 500 ms at the least.

Test: TestSilentInstancesAreLeftInTime (fake clock, asked and pushed) fails without the change.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -23,8 +23,10 @@
 	pathMembers = "/catalog/members"
 
 	// An instance answers a call within a second or turns it away; one that is cut off
-	// says nothing.
+	// says nothing. Where there are many, all of them are tried within callsWithin.
 	callSilence = 2 * time.Second
+	callLeast   = 500 * time.Millisecond
+	callsWithin = 3 * lynxspool.ToldAfter / 4
 	watchDial   = 500 * time.Millisecond
 	// Where lists are pushed, what the gateway's own agent has counts as told whether or
 	// not a watch is open: a new one is begun soon, and watchMost is half of the longest wait.
@@ -263,8 +265,8 @@
 func (d *Discovery) answerIn() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.addrs) > 1 {
-		return min(d.silence, d.answer)
+	if n := len(d.addrs); n > 1 {
+		return min(d.silence, d.answer, max(callLeast, callsWithin/time.Duration(n)))
 	}
 	return d.silence << min(d.waited, 1)
 }
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -641,3 +641,31 @@
 		t.Logf("%.1f calls a second without discovery", a)
 	}
 }
+
+// Where most of the instances of discovery are cut off and say nothing, the one that is well
+// is come to in time: what waits at each is shared out.
+func TestSilentInstancesAreLeftInTime(t *testing.T) {
+	for _, ask := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			n := newBubbleNet()
+			hosts := bubbleHosts(n, 2)
+			disco := newBubbleDiscovery(n, "well:80", hosts)
+			addrs := []string{disco.addr}
+			for i := range 4 {
+				addr := fmt.Sprintf("cut-%d:80", i)
+				n.set(addr, func(c net.Conn) { io.Copy(io.Discard, c) })
+				addrs = append(addrs, addr)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer settle(cancel, disco)
+			g := startBubble(t, ctx, n, bubbleConfig(ask, 6, 3, strings.Join(addrs, ","), hosts))
+			time.Sleep(5 * time.Second)
+			disco.end()
+			disco.drain("s-0")
+			time.Sleep(lynxspool.ToldAfter + drainGrace)
+			if g.usable("s-0") {
+				t.Errorf("asked for %t: a drain is not heard of %v after it", ask, lynxspool.ToldAfter+drainGrace)
+			}
+		})
+	}
+}
