See a client leave behind bytes that nobody has read, before each attempt

In the test, of 20 clients that left behind such bytes while their requests waited, up to 19 were sent on.

Change: before an attempt is written the connection is asked by poll (POLLRDHUP), which tells of the end of sending behind unread bytes, whether it waited for a host, a dial or a repeat. For a body that is not kept the system takes 256 KiB ahead, out of the budget of what is kept, so that an end behind it comes in.

--- a/internal/gateway/bulk.go
+++ b/internal/gateway/bulk.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	maxSmall  = 64 << 10 // of a body or answer that is kept whole, and so can be repeated
-	maxBody   = 32 << 20 // of any body of a request
+	maxSmall = 64 << 10 // of a body or answer that is kept whole, and so can be repeated
+	maxBody  = 32 << 20 // of any body of a request
+	// So much of a body that waits for a host is taken ahead by the system, so that its
+	// client is seen to leave; it counts as kept. What is longer hides that.
+	maxAhead  = 256 << 10
 	pieceSize = 16 << 10 // of what is streamed, at a time
 
 	// Kept bodies and answers, all together, have this share of the memory limit. Two
--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -8,7 +8,10 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // net/http lets Transfer-Encoding override Content-Length and then removes the latter,
@@ -202,6 +205,38 @@
 	return err
 }
 
+// gone says whether the client has ended its sending or its connection, which bytes that
+// nobody has read yet hide from a reader. What the receive buffer cannot take hides it here
+// as well: the end comes behind it.
+func (c *framedConn) gone() bool {
+	if c.closed.Load() {
+		return true
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		gone = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return gone || err != nil
+}
+
+// holdAhead has the system take so much ahead of who reads the connection, so that an end
+// behind it comes in.
+func (c *framedConn) holdAhead(n int) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.SetReadBuffer(n) // what it takes less, it takes later
+	}
+}
+
 type framedKey struct{}
 
 func withFraming(ctx context.Context, c net.Conn) context.Context {
--- a/internal/gateway/gone_test.go
+++ b/internal/gateway/gone_test.go
@@ -103,3 +103,73 @@
 	})
 	until(t, "the request is forgotten", func() bool { return g.openRequests() == 0 })
 }
+
+// Bytes that nobody has read hide the end of a connection from who reads it: those behind a
+// request, and a body that is sent on only once there is a host. Clients that leave like that
+// are not sent on either, be it that their requests wait for a host, one after the other or in
+// a crowd, or for a connection to it, or for a repeat; those who stay are.
+func TestWhoLeftBehindUnreadBytesIsNotSentOn(t *testing.T) {
+	const long = 100_000 // more than is kept, less than the receive buffer takes
+	heads := map[string]string{
+		"part of another request": lookHead + "GET /api/2 HTTP/1.1\r\nHost: a\r\nX-Req",
+		"another request":         lookHead + lookHead,
+		"a long body": "POST /api/1 HTTP/1.1\r\nHost: a\r\nX-Request-ID: id-1\r\nX-Priority-Class: book\r\n" +
+			"Content-Length: 100000\r\n\r\n" + string(text(long)),
+	}
+	leaves := map[string]func(net.Conn){
+		"a close":      func(c net.Conn) { c.Close() },
+		"a half-close": func(c net.Conn) { c.(*net.TCPConn).CloseWrite() },
+		"a reset": func(c net.Conn) {
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		},
+	}
+	for what, head := range heads {
+		for how, leave := range leaves {
+			t.Run(what+", "+how, func(t *testing.T) {
+				whoLeft(t, head, leave)
+			})
+		}
+	}
+}
+
+func whoLeft(t *testing.T, head string, leave func(net.Conn)) {
+	host := newHost(t, says(good))
+	cfg := testConfig(host)
+	for i := range cfg.Settings.Classes {
+		cfg.Settings.Classes[i].Aim = cfg.Settings.Classes[i].Deadline // they wait for a share of that
+	}
+	cfg.Known.Servers[0].State = "draining"
+	g := startGateway(t, cfg)
+	const crowd = 20
+	var conns []net.Conn
+	for range crowd {
+		conns = append(conns, g.open(head))
+	}
+	stays := g.open(head)
+	until(t, "all wait", func() bool { return g.openRequests() == crowd+1 })
+	for _, c := range conns {
+		leave(c)
+	}
+	until(t, "their ends have come", func() bool {
+		g.server.mu.Lock()
+		defer g.server.mu.Unlock()
+		there := 0
+		for c := range g.server.conns {
+			if !c.(*framedConn).gone() {
+				there++
+			}
+		}
+		return there == 1
+	})
+	cfg.Known.Servers[0].State = "ready"
+	g.loop.Members(lynxspool.ListFull, cfg.Known)
+	if resp, err := http.ReadResponse(bufio.NewReader(stays), nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("who stayed got %v, %v", resp, err)
+	}
+	stays.Close()
+	until(t, "all are forgotten", func() bool { return g.openRequests() == 0 })
+	if n, _, _ := host.counts(); n > 2 { // who stays may have asked for two
+		t.Errorf("the host got %d requests, one client stayed", n)
+	}
+}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -352,7 +352,11 @@
 			return lynxspool.ConnectFailed, answer{}
 		}
 		// The dial may have taken long: look again whether the request may go out. It
-		// guards against sending to a host that drains by now, or what has its answer.
+		// guards against sending to a host that drains by now, or what has its answer, or for
+		// a client that has left while bytes that it had sent hid that.
+		if x.gone != nil && x.gone() {
+			x.finish(answer{kind: failed})
+		}
 		if x.over.Load() || !h.usable.Load() {
 			p.put(c)
 			return lynxspool.NotSent, answer{}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -57,6 +57,8 @@
 	left          time.Duration             // that the client waits from its last byte on
 	deadline      time.Time                 // when its answer is due; of an upload, once it is whole
 
+	gone func() bool // whether the client has left, as far as its connection tells; may be nil
+
 	over   atomic.Bool // it is answered or nobody waits: set once, by finish
 	answer chan answer // holds the answer that finish was won with
 
@@ -364,6 +366,9 @@
 		repeat: r.Header.Get("X-Retried") == "1", answer: make(chan answer, 1),
 		give: func() {}, due: s.due,
 	}
+	if c, ok := r.Context().Value(framedKey{}).(*framedConn); ok {
+		x.gone = c.gone
+	}
 	bad := func(format string, args ...any) (*exchange, int, error) {
 		return nil, http.StatusBadRequest, fmt.Errorf(format, args...)
 	}
@@ -408,6 +413,10 @@
 	}
 	if r.ContentLength > maxSmall || !s.loop.pool.kept.take(size) {
 		x.upload = &upload{clientBody: body, length: r.ContentLength, whole: make(chan struct{})}
+		if c, ok := r.Context().Value(framedKey{}).(*framedConn); ok && s.loop.pool.kept.take(maxAhead) {
+			c.holdAhead(maxAhead)
+			x.give = func() { s.loop.pool.kept.give(maxAhead) }
+		}
 		return 0, nil
 	}
 	x.give = func() { s.loop.pool.kept.give(size) }
