Play a gateway among 1,024 that knows 1,024 hosts in a test

Need: no cap under 1,024 on gateways or hosts anywhere; none was found by reading, and no test had so many of each. Test: TestThousandHostsAndGateways, lists asked for and pushed, with a view of the bank and without, on a fake clock; it passes at the commit before it as well.

--- /dev/null
+++ b/internal/gateway/sizes_test.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lynxspool"
+)
+
+// A bank of 1,024 that knows 1,024 hosts: a gateway of it takes the whole list and each change,
+// uses what is ready and nothing else, with a view of the bank or without.
+func TestThousandHostsAndGateways(t *testing.T) {
+	const count = 1024
+	for _, ask := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			n := newBubbleNet()
+			hosts := bubbleHosts(n, count)
+			disco := newBubbleDiscovery(n, "discovery:80", hosts)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer settle(cancel, disco)
+			cfg := bubbleConfig(ask, count, count-1, disco.addr, nil) // the list is all it has
+			g := startBubble(t, ctx, n, cfg)
+			time.Sleep(5 * time.Second)
+			if !g.usable("s-0") || !g.usable("s-1023") {
+				t.Fatal("the list is not known whole")
+			}
+			served := func(requests int) (good int) {
+				var xs []*exchange
+				for i := range requests {
+					xs = append(xs, g.send(i))
+					time.Sleep(10 * time.Millisecond)
+				}
+				for _, x := range xs {
+					if a := <-x.answer; a.kind == served {
+						good++
+					}
+				}
+				return good
+			}
+			if n := served(200); n != 200 {
+				t.Errorf("asked for %t: %d of 200 requests are served", ask, n)
+			}
+			var peers []lynxspool.Peer
+			for rank := range count {
+				peers = append(peers, lynxspool.Peer{Rank: rank, Rate: 20})
+			}
+			if p := g.loop.Peers(peers); p.Live != count || p.Draws == 0 {
+				t.Errorf("asked for %t: the place in the view is %+v", ask, p)
+			}
+			if n := served(200); n != 200 {
+				t.Errorf("asked for %t: with a view %d of 200 requests are served", ask, n)
+			}
+			for _, h := range hosts[1:] { // one is left
+				disco.mu.Lock()
+				disco.states[h.id] = "draining"
+				disco.mu.Unlock()
+			}
+			disco.drain("s-1")
+			time.Sleep(time.Second)
+			before := time.Now()
+			served(20)
+			for _, h := range hosts[1:] {
+				if h.between(before, time.Now()) > 0 {
+					t.Fatalf("asked for %t: %s got a request after it was told to drain", ask, h.id)
+				}
+			}
+			if hosts[0].between(before, time.Now()) == 0 {
+				t.Errorf("asked for %t: the host that is left got nothing", ask)
+			}
+		})
+	}
+}
