Keep no bound on sends while it is not in force, so that its cuts do not add up

Until 13 s 4 to 8 share one, so it holds nothing back: gateway n100 sends 14 a second while its "bound" is cut round after round from 1.6 to 0.125, the least, as sends go on and answers stay late. Then the retries of its clients make it draw from more hosts, 11 share one, and the bound comes into force at a hundredth of what was sent; with an answer in seven seconds it cannot grow. The same at n7 (17 a second, 0.68) and n200 (11, 0.125). At fault: press cuts b.bound whatever admit makes of it.

Change: where fewer share a host there is no bound; the first cut that is in force begins from what is sent then.

--- a/balancer.go
+++ b/balancer.go
@@ -684,11 +684,10 @@
 	}
 }
 
-// press steers the rate at which this instance sends at all by the RTT of its last
-// answers from any host, against what is usual for their class and within its aim.
-// It acts when their mean passes the target, once a round. It guards against overload
-// of the fleet where boundShare instances or more have part of an attempt at a host. What
-// a cold host takes is its own, with its pacing as the guard; its answers let the bound grow.
+// press steers the rate at which this instance sends by the RTT of its last answers, against
+// what is usual for their class and within its aim. It guards the fleet against overload,
+// once a round, where boundShare instances or more have part of an attempt at a host. A cold
+// host has its pacing as the guard; its answers let the bound grow.
 func (b *Balancer) press(a *attempt, rtt float64) {
 	target := pressAims * a.req.class.Aim.Seconds()
 	if l := &a.req.class.lat; l.seen {
@@ -698,9 +697,10 @@
 		b.pressure.blend(min(rtt/target, pressMost), pressWeight)
 	}
 	switch {
+	case b.sharers() < boundShare:
+		b.bound = 0 // not in force: its cuts would change nothing, and add up to nothing
 	case b.pressure.mean > 1 && a.sent >= b.pressedAt && !a.host.cold:
-		sends := b.sends.now(b.now, b.rateSpan())
-		if b.bound == 0 || sends < b.bound {
+		if sends := b.sends.now(b.now, b.rateSpan()); b.bound == 0 || sends < b.bound {
 			b.bound = sends
 		}
 		b.bound = max(b.bound/b.pressure.mean, 1/b.rateSpan())
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1030,6 +1030,40 @@
 	}
 }
 
+// tuul-addr-prod join+mass: while few instances shared a host the bound on sends was cut round
+// after round without holding anything back; as traffic grew more came to share a host, the
+// bound came into force at next to nothing, and all but a send in seven seconds was refused.
+func TestBoundThatIsNotInForceAddsUpToNothing(t *testing.T) {
+	set := basic()
+	set.Instances = 40
+	g := start(t, set, hosts(20)...)
+	run := func(requests int, gap, took Time) (sent int) {
+		for range requests {
+			id := g.request(0, time.Second)
+			if len(g.acts) == 1 && g.acts[0].Kind == Send {
+				sent++
+				g.outcome(id, 0, OK, took)
+			}
+			for _, h := range g.b.hosts { // keeps the hosts' own limits out of this
+				h.limit, h.restUntil = 10, 0
+			}
+			g.advance(gap)
+		}
+		return sent
+	}
+	run(100, 250*ms, 40*ms)
+	if n := run(100, 250*ms, 360*ms); n != 100 || g.b.sharers() >= boundShare {
+		t.Fatalf("%d of 100 sent with %.1f instances at a host, want all with fewer than %d", n, g.b.sharers(), boundShare)
+	}
+	run(60, 50*ms, 40*ms) // more traffic, and usual answers
+	if s := g.b.sharers(); s < boundShare {
+		t.Fatalf("%.1f instances at a host, want %d", s, boundShare)
+	}
+	if n := run(60, 50*ms, 40*ms); n < 50 {
+		t.Errorf("%d of 60 sent after the bound came into force, bound %.2f a second", n, g.b.bound)
+	}
+}
+
 // serra incidents i06a801, ie8003c: small cuts, one an answer, came too late to
 // keep hosts from tipping; many at once would be one too many.
 func TestLimitIsCutOnceARound(t *testing.T) {
