Look at the whole head of an HTTP/1.0 answer for an encoding, not at its first 4 KiB

Need: an answer of HTTP/1.0 that names an encoding has a framing that is not that of its head; ReadResponse drops the name, and the chunk lines pass for a body that the end of the connection tells. The look for it ended with the reader's buffer, 4 KiB. Change: where the head does not fit, the look goes on with a buffer of the longest head, for that connection alone. Test: two rows of TestAnswersAndTheirResults. Without the change the one with the encoding behind 9 KiB does not end: the answer is taken for one that is still coming, and the test ran into its limit of 600 s.

--- a/internal/gateway/host_test.go
+++ b/internal/gateway/host_test.go
@@ -206,6 +206,10 @@
 		{"no header", "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 4\r\n\r\ngood", lynxspool.Failed, 0},
 		{"no chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\ngood\r\n0\r\n\r\n", lynxspool.Failed, 0},
 		{"chunks in the old protocol", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n", lynxspool.Failed, 0},
+		{"chunks in the old protocol behind a long head", "HTTP/1.0 200 OK\r\nX-Pad: " + strings.Repeat("x", 9<<10) +
+			"\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n", lynxspool.Failed, 0},
+		{"a good one of the old protocol with a long head", "HTTP/1.0 200 OK\r\nX-Pad: " + strings.Repeat("x", 9<<10) +
+			"\r\nContent-Length: 4\r\n\r\ngood", lynxspool.OK, 0},
 		{"a good one of the old protocol", "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\ngood", lynxspool.OK, 0},
 		{"a later protocol", "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\ngood", lynxspool.Failed, 0},
 		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\ngood", lynxspool.Failed, 0},
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -660,7 +660,7 @@
 
 // chunksOfOld says whether the answer that comes next is one of HTTP/1.0 that names an
 // encoding: its framing is faulty, and ReadResponse drops the name, so that the chunk lines
-// would pass for its body. It looks at the head as far as the buffer holds it.
+// would pass for its body. The head is looked at whole, as far as a head may go.
 func (c *conn) chunksOfOld() bool {
 	const old = "HTTP/1.0"
 	for n := range len(old) { // byte by byte: what is no HTTP may be shorter
@@ -670,7 +670,13 @@
 	}
 	for n := 0; ; {
 		head, err := c.in.Peek(min(max(n+1, c.in.Buffered()), c.in.Size()))
-		if i := bytes.Index(head, []byte("\r\n\r\n")); i >= 0 || err != nil || len(head) == c.in.Size() {
+		i := bytes.Index(head, []byte("\r\n\r\n"))
+		if i < 0 && err == nil && len(head) == c.in.Size() && len(head) < maxHead {
+			// Few heads are so long, so the buffer of each connection is not.
+			c.in = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(head)), c.limit), maxHead)
+			continue
+		}
+		if i >= 0 || err != nil || len(head) == c.in.Size() {
 			if i >= 0 {
 				head = head[:i]
 			}
