Ask again in two process tests what a busy machine refuses; share their hosts and start

Need: of 20 repeats under the race detector beside other load, TestBankHearsOfADrainThrough- Silence failed six times: a host looked full for a moment and a request got 503, which the test took for a failure. It is about where requests go, not how many are refused. Change: what is refused is asked again, any other answer fails as before; the start of the program and the two counting hosts are shared by these tests (pairs shown by duplicates).

--- a/cmd/dunemoor/main_test.go
+++ b/cmd/dunemoor/main_test.go
@@ -59,6 +59,13 @@
 	p := &program{Cmd: exec.Command(os.Args[0]), url: url, config: path, exited: make(chan struct{})}
 	p.Env = append(append(os.Environ(), "DUNEMOOR_AS_PROGRAM=1", "GW_CONFIG="+path), vars...)
 	p.ExtraFiles = files
+	p.begin(t)
+	return p
+}
+
+// begin starts the process, for as long as the test.
+func (p *program) begin(t *testing.T) {
+	t.Helper()
 	p.Stdout, p.Stderr = &p.out, &p.out
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
@@ -71,7 +78,34 @@
 		p.Process.Kill()
 		<-p.exited
 	})
-	return p
+}
+
+// serve asks until n requests have been served. On a busy machine hosts look full for a
+// moment, and a request is refused; it is asked again.
+func (p *program) serve(t *testing.T, n int) {
+	t.Helper()
+	for end := time.Now().Add(patience); n > 0; {
+		_, err := ask(p.url)
+		if err == nil {
+			n--
+		} else if !strings.Contains(err.Error(), "answer 503") || time.Now().After(end) {
+			t.Fatalf("%v\n%s", err, p.out.String())
+		}
+	}
+}
+
+// twoHosts starts two hosts that serve all that comes and count it.
+func twoHosts(t *testing.T) (asked *[2]atomic.Int64, addrs []string) {
+	asked = new([2]atomic.Int64)
+	for i := range asked {
+		host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			asked[i].Add(1)
+			io.WriteString(w, "done")
+		}))
+		t.Cleanup(host.Close)
+		addrs = append(addrs, strings.TrimPrefix(host.URL, "http://"))
+	}
+	return asked, addrs
 }
 
 // ready waits until the program reports that it can serve.
