--- a/asking.go
+++ b/asking.go
@@ -4,9 +4,7 @@
 // must not swamp it with calls, and yet hear of each change by the clock of the told.
 
 const (
-	// Whatever becomes of watches and calls, a change counts as told ToldAfter after discovery
-	// had it and could be reached: half of that to notice a fault, half for calls that wait or fail.
-	ToldAfter   = Time(6e9)
+	ToldAfter   = Time(6e9)     // a change counts as told so long after discovery had it and could be reached
 	SilentAfter = ToldAfter / 2 // a watch without a line (one is due every 2 s), or a call, has failed
 	AskMost     = ToldAfter / 2 // wait for the next call at the most, whatever Instances and AskWithin
 
@@ -27,16 +25,18 @@
 // row: in its rank's slot of a period that gives the whole bank askGap a call. A slot on
 // the clock needs no luck: no two ranks meet, and each asks within one period of the
 // return. The period is AskWithin at most, as a list may not be older unasked, and AskMost.
-// jitter, from 0 to 1, is the place in the slot: two instances may have one rank.
-func AskAgain(set *Settings, now Time, fails int, jitter float64) Time {
+// jitter, from 0 to 1, is the place in the slot; listed says that there are hosts to send to.
+func AskAgain(set *Settings, now Time, fails int, listed bool, jitter float64) Time {
 	within, n := set.AskWithin, Time(set.Instances)
-	orDefault(&within, defaultAskWithin)
 	least := Time(min(askLeast*float64(int(1)<<min(fails, 3)), askSteady) * float64(within))
 	least = min(least, AskMost*n/(n+1)) // a wait may be longer than a period by a slot
 	period := min(max(askGap*n, least), within, AskMost)
 	next := now - now%period + Time((float64(set.Rank)+jitter)/float64(n)*float64(period))
-	gap := period / max(n, 2) // the slot of the last call is over
-	if fails == 0 {           // nothing was asked just now
+	gap := period / 2
+	if listed { // two calls fit into the clock of the told: just the last call's slot is passed over
+		gap = period / max(n, 2)
+	}
+	if fails == 0 { // nothing was asked just now
 		gap = least / 2
 	}
 	for next < now+gap {
@@ -63,7 +63,7 @@
 	b.watching = false
 	if b.set.Ask {
 		b.watchFails++
-		b.watchIn(AskAgain(&b.set, b.now, fails, b.float()) - b.now)
+		b.watchIn(AskAgain(&b.set, b.now, fails, len(b.hosts) > 0, b.float()) - b.now)
 	}
 }
 
