Test three parts of the mends that no test would have missed

Need: with parts taken out one at a time the tests of the clock and of clients that left still passed for four: the time given after an unanswered call, what a move by SIGHUP forgets, the 256 KiB taken ahead of a long body (100 KB fitted without), and the dial of 500 ms. Test: TestSlowDiscoveryIsHeard and TestMoveForgetsTheRest are new; the long body of TestWhoLeftBehindUnreadBytesIsNotSentOn has 150 KB. Each fails with its part taken out; twenty times under the race detector without a failure. The shorter dial has no test still.

--- a/internal/gateway/gone_test.go
+++ b/internal/gateway/gone_test.go
@@ -109,12 +109,12 @@
 // are not sent on either, be it that their requests wait for a host, one after the other or in
 // a crowd, or for a connection to it, or for a repeat; those who stay are.
 func TestWhoLeftBehindUnreadBytesIsNotSentOn(t *testing.T) {
-	const long = 100_000 // more than is kept, less than the receive buffer takes
+	const long = 150_000 // more than is kept, less than the receive buffer takes
 	heads := map[string]string{
 		"part of another request": lookHead + "GET /api/2 HTTP/1.1\r\nHost: a\r\nX-Req",
 		"another request":         lookHead + lookHead,
 		"a long body": "POST /api/1 HTTP/1.1\r\nHost: a\r\nX-Request-ID: id-1\r\nX-Priority-Class: book\r\n" +
-			"Content-Length: 100000\r\n\r\n" + string(text(long)),
+			"Content-Length: 150000\r\n\r\n" + string(text(long)),
 	}
 	leaves := map[string]func(net.Conn){
 		"a close":      func(c net.Conn) { c.Close() },
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -669,3 +669,47 @@
 		})
 	}
 }
+
+// A discovery that takes 4 s for a call is slow, not silent: after a call that was given up the
+// next one is given the time.
+func TestSlowDiscoveryIsHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newBubbleNet()
+		hosts := bubbleHosts(n, 2)
+		disco := newBubbleDiscovery(n, "discovery:80", hosts)
+		disco.work = 4 * time.Second
+		ctx, cancel := context.WithCancel(t.Context())
+		defer settle(cancel, disco)
+		g := startBubble(t, ctx, n, bubbleConfig(true, 6, 0, disco.addr, hosts))
+		time.Sleep(20 * time.Second)
+		select {
+		case <-g.loop.Listed():
+		default:
+			t.Errorf("no list after 20 s and %d calls", len(disco.calls))
+		}
+	})
+}
+
+// The rest that the old address asked for is not kept at the one that SIGHUP names.
+func TestMoveForgetsTheRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newBubbleNet()
+		hosts := bubbleHosts(n, 2)
+		disco := newBubbleDiscovery(n, "discovery:80", hosts)
+		ctx, cancel := context.WithCancel(t.Context())
+		g := startBubble(t, ctx, n, bubbleConfig(true, 6, 0, disco.addr, hosts))
+		time.Sleep(5 * time.Second)
+		disco.will(callRest)
+		disco.end()
+		time.Sleep(time.Second) // the call after the end has come by now: a rest of 3 s begins
+		moved := newBubbleDiscovery(n, "elsewhere:80", hosts)
+		defer settle(cancel, disco, moved)
+		moved.will(callBusy)
+		moved.drain("s-0")
+		g.d.Move(moved.addr)
+		time.Sleep(1900 * time.Millisecond)
+		if g.usable("s-0") {
+			t.Errorf("not heard at the new address 1.9 s after the move, after %d calls", len(moved.calls))
+		}
+	})
+}
