--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -323,7 +323,9 @@
 	if d.listed {
 		req.Header.Set("X-Catalog-Have", strconv.FormatUint(d.version, 10))
 	}
+	began := time.Now()
 	resp, err := d.client.Do(req)
+	logCall(ctx, index, time.Since(began), resp, err)
 	if context.Cause(ctx) == errSilent {
 		d.waited++
 	} else {
@@ -381,6 +383,19 @@
 	}
 }
 
+// logCall notes how a call for a list went: where a fleet is told late, the waits of its calls
+// say whose turn came when.
+func logCall(ctx context.Context, index uint64, took time.Duration, resp *http.Response, err error) {
+	status := 0
+	if resp != nil {
+		status = resp.StatusCode
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	slog.Info("call for the list", "index", index, "took", took.Round(time.Millisecond), "status", status, "err", err)
+}
+
 // heedfulReader tells of every read that brings something, and ends what brings too much.
 type heedfulReader struct {
 	from  io.Reader
