--- a/cmd/dunemoor/crowd_test.go
+++ b/cmd/dunemoor/crowd_test.go
@@ -36,6 +36,7 @@
 	p := &program{Cmd: exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, limit), os.Args[0]), url: "http://" + listen,
 		config: path, exited: make(chan struct{})}
 	p.Env = append(os.Environ(), "DUNEMOOR_AS_PROGRAM=1", "GW_CONFIG="+path, "GW_LISTEN="+listen, "GW_OPERATOR="+operator, "TMPDIR="+t.TempDir())
+	p.Stdout, p.Stderr = &p.out, &p.out
 	p.begin(t)
 	p.ready(t)
 	held := func() int {
--- a/cmd/dunemoor/main_test.go
+++ b/cmd/dunemoor/main_test.go
@@ -51,6 +51,15 @@
 
 // launch runs the program with a configuration, further descriptors and variables.
 func launch(t *testing.T, config, url string, files []*os.File, vars ...string) *program {
+	t.Helper()
+	p := prepare(t, config, url, files, vars...)
+	p.Stdout, p.Stderr = &p.out, &p.out
+	p.begin(t)
+	return p
+}
+
+// prepare is launch without the start; the program's output goes nowhere yet.
+func prepare(t *testing.T, config, url string, files []*os.File, vars ...string) *program {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
@@ -59,14 +68,12 @@
 	p := &program{Cmd: exec.Command(os.Args[0]), url: url, config: path, exited: make(chan struct{})}
 	p.Env = append(append(os.Environ(), "DUNEMOOR_AS_PROGRAM=1", "GW_CONFIG="+path), vars...)
 	p.ExtraFiles = files
-	p.begin(t)
 	return p
 }
 
 // begin starts the process, for as long as the test.
 func (p *program) begin(t *testing.T) {
 	t.Helper()
-	p.Stdout, p.Stderr = &p.out, &p.out
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -111,8 +118,9 @@
 // ready waits until the program reports that it can serve.
 func (p *program) ready(t *testing.T) {
 	t.Helper()
+	client := http.Client{Timeout: patience} // what blocks the program must not block the test
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if resp, err := http.Get(p.url + "/_health"); err == nil {
+		if resp, err := client.Get(p.url + "/_health"); err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == 200 {
 				return
