Go on accepting after any failed accept, clients', operators' and the catalog's

Symptom: accept(2) or epoll_ctl that fails once with ENOBUFS, ENOMEM, EPROTO, ENETDOWN or EPERM ends the process with every request in flight. Cause: net/http's Serve returns on each error that is not Temporary, which is all but EINTR, EMFILE, ENFILE and time-outs; server.go and operator.go passed that on to main. The catalog's server the same. Change: listener.Persist returns an error only once closed; others are logged once a second and tried again after 0 to 200 ms.

--- a/cmd/catalog/main.go
+++ b/cmd/catalog/main.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"lynxspool/internal/catalog"
+	"lynxspool/internal/listener"
 )
 
 func main() {
@@ -86,7 +87,7 @@
 	srv := &http.Server{Handler: node.Handler(), ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10, ConnContext: catalog.ConnContext}
 	done := make(chan error, 1)
-	go func() { done <- srv.Serve(ln) }()
+	go func() { done <- srv.Serve(listener.Persist(ln, "callers")) }()
 	slog.Info("catalog serving", "id", opt.ID, "http", opt.HTTP, "raft", opt.Raft, "peers", max(1, len(opt.Peers)))
 
 	sig := make(chan os.Signal, 1)
--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"lynxspool/internal/listener"
 )
 
 const (
@@ -67,7 +69,9 @@
 }
 
 // Serve answers calls that come to ln.
-func (o *Operator) Serve(ln net.Listener) error { return o.http.Serve(framedListener{ln}) }
+func (o *Operator) Serve(ln net.Listener) error {
+	return o.http.Serve(framedListener{listener.Persist(ln, "operators")})
+}
 
 // track closes the oldest connection when there are too many: a call takes so little
 // time that the oldest belongs to a caller who sends nothing.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lynxspool"
+	"lynxspool/internal/listener"
 )
 
 // Shares of the descriptors, in hundredths; the rest is for the listener, discovery
@@ -158,6 +159,7 @@
 
 // Serve takes requests from ln until Shutdown has closed it.
 func (s *Server) Serve(ln net.Listener) error {
+	ln = listener.Persist(ln, "clients")
 	ln = &clientListener{framedListener: framedListener{ln}, server: s, done: make(chan struct{})}
 	s.ln.Store(&ln)
 	if s.stopping.Load() {
