Write the log from a bounded queue, so that no reader of it can block or end a process

Symptom: with standard error's reader gone the next line ends the gateway (SIGPIPE); with one that stops reading a full pipe blocks whoever logs: main's loop of signals, the module's loop, handlers. Cause: slog wrote to os.Stderr in the caller's goroutine (main.go), and Go raises SIGPIPE on EPIPE of descriptors 1 and 2. The catalog the same, raft's log too. Change: logwriter queues lines (128 KiB, and as much under way), loses and counts what does not fit, logs the count with the next line that gets through, ignores SIGPIPE; the end waits 30 ms for the last lines (the catalog 100 ms).

--- a/cmd/catalog/main.go
+++ b/cmd/catalog/main.go
@@ -12,6 +12,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -23,18 +24,28 @@
 
 	"lynxspool/internal/catalog"
 	"lynxspool/internal/listener"
+	"lynxspool/internal/logwriter"
 )
 
 func main() {
-	if err := run(os.Args[1:]); err != nil {
-		fmt.Fprintln(os.Stderr, "catalog:", err)
+	log := logwriter.Install()
+	err := run(os.Args[1:], log)
+	if err != nil {
+		fmt.Fprintln(log, "catalog:", err)
+	}
+	log.Flush(flushTime)
+	if err != nil {
 		os.Exit(2)
 	}
 }
 
-func run(args []string) error {
+// flushTime is what the last log lines have to get out.
+const flushTime = 100 * time.Millisecond
+
+func run(args []string, log io.Writer) error {
 	fs := flag.NewFlagSet("catalog", flag.ContinueOnError)
-	var opt catalog.Options
+	fs.SetOutput(log)
+	opt := catalog.Options{Log: log}
 	fs.StringVar(&opt.ID, "id", "c1", "raft id of this instance")
 	fs.StringVar(&opt.DataDir, "data", "catalog-data", "data folder: raft log, stable store and snapshots")
 	fs.StringVar(&opt.Raft, "raft", "127.0.0.1:7500", "address raft listens on and peers know it by")
--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -17,6 +17,7 @@
 
 	"lynxspool"
 	"lynxspool/internal/gateway"
+	"lynxspool/internal/logwriter"
 	"lynxspool/internal/membership"
 )
 
@@ -28,18 +29,25 @@
 // time it is given to get ready, and the other to end.
 const overlapTime = 10 * time.Second
 
+// flushTime is what the last log lines have to get out, which is less than the process has left
+// between its last answers and a SIGKILL.
+const flushTime = 30 * time.Millisecond
+
 // memoryShare is the part of the memory limit at which the collector works harder;
 // the rest is for stacks, the binary and what the kernel holds for us.
 const memoryShare = 0.7
 
 func main() {
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	log := logwriter.Install()
 	cfg, err := gateway.Load(os.Getenv)
 	if err == nil {
 		err = run(cfg)
 	}
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "dunemoor: %v\n", err)
+		fmt.Fprintf(log, "dunemoor: %v\n", err)
+	}
+	log.Flush(flushTime)
+	if err != nil {
 		os.Exit(1)
 	}
 }
