--- a/internal/catalog/node.go
+++ b/internal/catalog/node.go
@@ -59,8 +59,19 @@
 	Log       io.Writer
 	// Calls bounds the calls for lists in work and waiting; the zero value takes DefaultCalls.
 	Calls admit.Options
+
+	openDisk func(path string) (disk, error) // of raft's log and stable store; nil: bbolt's
+}
+
+// disk keeps raft's log and what else it has to remember, in a file.
+type disk interface {
+	raft.LogStore
+	raft.StableStore
+	Close() error
 }
 
+func openBolt(path string) (disk, error) { return raftboltdb.New(raftboltdb.Options{Path: path}) }
+
 // DefaultCalls lets 32 calls be in work and 1,024 wait for a second; callers beyond that
 // come back 2 ms apart at least (500 a second) and within 10 s.
 var DefaultCalls = admit.Options{Work: 32, Queue: 1024, Wait: time.Second, Least: 2 * time.Millisecond, Most: 10 * time.Second}
@@ -70,7 +81,7 @@
 	opt   Options
 	raft  *raft.Raft
 	store *Store
-	logs  *raftboltdb.BoltStore
+	logs  disk
 	trans *raft.NetworkTransport
 	peers map[raft.ServerID]Peer
 	watch chan struct{} // one token an open watch
@@ -120,7 +131,10 @@
 	if err := os.MkdirAll(opt.DataDir, 0o755); err != nil {
 		return nil, fmt.Errorf("catalog: data folder: %w", err)
 	}
-	logs, err := raftboltdb.New(raftboltdb.Options{Path: filepath.Join(opt.DataDir, "raft.db")})
+	if opt.openDisk == nil {
+		opt.openDisk = openBolt
+	}
+	logs, err := opt.openDisk(filepath.Join(opt.DataDir, "raft.db"))
 	if err != nil {
 		return nil, fmt.Errorf("catalog: log store: %w", err)
 	}
