Let a catalog instance outlive a data folder that takes no writes for a while

Symptom: three syncs that fail with EIO end a lone instance (exit 2, panic in raft's setCurrentTerm). Cause: a failed log write makes raft step down and stand again, and it panics if the new term cannot be saved; besides, a failed sync may leave the entry in the file, and a later, shorter batch would stand before an entry of an older term. Change: terms and votes are saved until they are saved, raft waiting meanwhile; what a failed log write may have left is removed before the next; closing waits 2 s for raft at the most. Decided: the instance outlives it, nobody restarts it. Result: TestLoneInstanceOutlivesAFailingDisk passes (24 bouts of 1 to 6 failures).

--- a/internal/catalog/node.go
+++ b/internal/catalog/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,7 +13,6 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
-	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 
 	"lynxspool/internal/admit"
 )
@@ -63,15 +63,6 @@
 	openDisk func(path string) (disk, error) // of raft's log and stable store; nil: bbolt's
 }
 
-// disk keeps raft's log and what else it has to remember, in a file.
-type disk interface {
-	raft.LogStore
-	raft.StableStore
-	Close() error
-}
-
-func openBolt(path string) (disk, error) { return raftboltdb.New(raftboltdb.Options{Path: path}) }
-
 // DefaultCalls lets 32 calls be in work and 1,024 wait for a second; callers beyond that
 // come back 2 ms apart at least (500 a second) and within 10 s.
 var DefaultCalls = admit.Options{Work: 32, Queue: 1024, Wait: time.Second, Least: 2 * time.Millisecond, Most: 10 * time.Second}
@@ -81,7 +72,7 @@
 	opt   Options
 	raft  *raft.Raft
 	store *Store
-	logs  disk
+	logs  *enduringDisk
 	trans *raft.NetworkTransport
 	peers map[raft.ServerID]Peer
 	watch chan struct{} // one token an open watch
@@ -134,10 +125,11 @@
 	if opt.openDisk == nil {
 		opt.openDisk = openBolt
 	}
-	logs, err := opt.openDisk(filepath.Join(opt.DataDir, "raft.db"))
+	file, err := opt.openDisk(filepath.Join(opt.DataDir, "raft.db"))
 	if err != nil {
 		return nil, fmt.Errorf("catalog: log store: %w", err)
 	}
+	logs := newEnduringDisk(file)
 	n.logs = logs
 	snaps, err := raft.NewFileSnapshotStore(opt.DataDir, 2, opt.Log)
 	if err != nil {
@@ -187,11 +179,25 @@
 	n.logs.Close()
 }
 
+// closeTime is what raft has to end; it has nothing to write then, so only a data folder that
+// takes no writes holds it up for longer.
+const closeTime = 2 * time.Second
+
+var errNotEnded = errors.New("catalog: ended while the data folder takes no writes")
+
 // Close stops raft and closes the data folder.
 func (n *Node) Close() error {
-	err := n.raft.Shutdown().Error()
-	n.close()
-	return err
+	ended := make(chan error, 1)
+	go func() { ended <- n.raft.Shutdown().Error() }()
+	select {
+	case err := <-ended:
+		n.close()
+		return err
+	case <-time.After(closeTime):
+		n.logs.giveUp()
+		n.trans.Close()
+		return errNotEnded
+	}
 }
 
 // Stale says why reads here would not be current, or "" where they are: a follower
