Show requests that are read and whose connection is then closed with no answer

Found by reading the paths that close a client's connection against the term that what was read is owed an answer: net/http tells that a connection is in use some steps after it has read a request; evict, closeIdle, finish and track go by what it told. Three tests force that step and fail: the client gets an end instead of its answer.

--- /dev/null
+++ b/internal/gateway/resting_test.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// openResting returns a client's connection that has had an answer and brings nothing.
+func openResting(g *testGateway) (net.Conn, *bufio.Reader) {
+	g.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
+	if err != nil {
+		g.Fatal(err)
+	}
+	g.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	in := bufio.NewReader(c)
+	answered(g, c, in, head("POST /api/first HTTP/1.1", "first", "Content-Length: 0\r\n"))
+	until(g.T, "the connection rests", func() bool {
+		g.server.mu.Lock()
+		defer g.server.mu.Unlock()
+		for _, cs := range g.server.conns {
+			if cs.state == http.StateIdle {
+				return true
+			}
+		}
+		return false
+	})
+	return c, in
+}
+
+// answered sends a request and wants it served.
+func answered(g *testGateway, c net.Conn, in *bufio.Reader, request string) {
+	g.Helper()
+	if _, err := io.WriteString(c, request); err != nil {
+		g.Fatal(err)
+	}
+	g.served(in)
+}
+
+// served wants the next answer to be that of a host.
+func (g *testGateway) served(in *bufio.Reader) {
+	g.Helper()
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		g.Fatalf("no answer: %v", err)
+	}
+	if text, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != http.StatusOK || string(text) != "good" {
+		g.Errorf("answer %d %q, %v", resp.StatusCode, text, err)
+	}
+}
+
+// framedConns are the clients' connections; g.server.mu is held.
+func (g *testGateway) framedConns() (conns []*framedConn) {
+	for c := range g.server.conns {
+		conns = append(conns, c.(*framedConn))
+	}
+	return conns
+}
+
+// A request, whole or in part, is read from a resting connection at the moment in which the
+// gateway looks for resting connections to close: it has been read, so it is answered.
+// net/http tells that the connection is in use only some steps after it has read; the test
+// holds it up there.
+func TestWhatIsReadFromARestingConnectionIsAnswered(t *testing.T) {
+	second := head("POST /api/second HTTP/1.1", "second", "Content-Length: 0\r\n")
+	for name, first := range map[string]int{"whole": len(second), "in part": 20} {
+		t.Run(name, func(t *testing.T) {
+			g := startGateway(t, testConfig(newHost(t, says(good))))
+			c, in := openResting(g)
+			g.server.mu.Lock()
+			if _, err := io.WriteString(c, second[:first]); err != nil {
+				t.Fatal(err)
+			}
+			until(t, "it is read", func() bool {
+				conn := g.framedConns()[0]
+				conn.mu.Lock()
+				defer conn.mu.Unlock()
+				return conn.head.started || len(conn.heads) > 0 || len(conn.line) > 0
+			})
+			g.server.evict()
+			g.server.mu.Unlock()
+			if _, err := io.WriteString(c, second[first:]); err != nil {
+				t.Fatal(err)
+			}
+			g.served(in)
+		})
+	}
+}
+
+// The same for what has come in and is not read yet.
+func TestRestingConnectionWithBytesUnreadStays(t *testing.T) {
+	g := startGateway(t, testConfig(newHost(t, says(good))))
+	c, in := openResting(g)
+	g.server.mu.Lock()
+	conn := g.framedConns()[0]
+	conn.mu.Lock() // nothing can be read and taken in
+	if _, err := io.WriteString(c, head("POST /api/second HTTP/1.1", "second", "Content-Length: 0\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(100*time.Millisecond, conn.mu.Unlock)
+	g.server.evict()
+	g.server.mu.Unlock()
+	g.served(in)
+}
+
+// A body that has come whole keeps its connection, also where its handler has yet to note that.
+func TestConnectionWhoseBodyIsWholeStays(t *testing.T) {
+	g := startGateway(t, testConfig(newHost(t, says(good))))
+	c, in := openResting(g)
+	if _, err := io.WriteString(c, head("POST /api/second HTTP/1.1", "second", "Content-Length: 4\r\n")+"bo"); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the body is read", func() bool {
+		g.server.mu.Lock()
+		defer g.server.mu.Unlock()
+		for _, cs := range g.server.conns {
+			if cs.reading {
+				return true
+			}
+		}
+		return false
+	})
+	time.Sleep(newLeast) // from now on it would make room
+	g.server.mu.Lock()
+	if _, err := io.WriteString(c, "dy"); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the body has come", func() bool {
+		conn := g.framedConns()[0]
+		conn.mu.Lock()
+		defer conn.mu.Unlock()
+		return conn.at == inHead
+	})
+	g.server.evict()
+	g.server.mu.Unlock()
+	g.served(in)
+}
