Close a client's connection only where nothing of a request has come in on it

Symptom: a client's request is read and its connection closed with no answer, which is a lost request. It was found by reading: evict, closeIdle, finish and track closed by net/http's state of the connection, which is told some steps after the request was read (conn.serve reads the head, then calls ConnState). Ruled out: requests in work (state Active under s.mu). Change: framedConn reads and takes in what it read in one step under its lock; a connection is closed to rest, or for bringing no head or body, under the same lock and only with nothing unread in the system. The look at sockets (peek, poll) goes on after EINTR, which on a host's connection passed for an early answer.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -23,18 +23,54 @@
 	since   time.Time
 }
 
-// rank orders connections that make room, the first to go lowest; false: it holds a request.
-func (cs connState) rank() (int, bool) {
+// room is which connections make room, the first to go lowest.
+type room int
+
+const (
+	roomNone room = iota // it holds a request
+	roomResting
+	roomWithoutHead
+	roomWithoutBody
+)
+
+// room says where among those that make room a connection is by what net/http tells of it,
+// which may be behind what was read.
+func (cs connState) room() room {
 	young := time.Since(cs.since) < newLeast
 	switch {
 	case cs.state == http.StateIdle:
-		return 0, true
+		return roomResting
 	case cs.state == http.StateNew && !young:
-		return 1, true
+		return roomWithoutHead
 	case cs.reading && !young:
-		return 2, true
+		return roomWithoutBody
+	}
+	return roomNone
+}
+
+// closeFor closes a connection to make room, unless more has come in than was told.
+func closeFor(c net.Conn, why room) bool {
+	framed, ok := c.(*framedConn)
+	switch {
+	case !ok || why == roomNone:
+		return false
+	case why == roomResting:
+		return framed.closeResting()
+	case why == roomWithoutHead:
+		return framed.closeWithoutHead()
+	}
+	return framed.closeWithoutBody()
+}
+
+// bringsHead says whether a connection has brought a part of a head, for less than so long.
+func bringsHead(c net.Conn, most time.Duration) bool {
+	framed, ok := c.(*framedConn)
+	if !ok {
+		return false
 	}
-	return 0, false
+	framed.mu.Lock()
+	defer framed.mu.Unlock()
+	return framed.at == inHead && time.Since(framed.head.began) < most
 }
 
 // clientListener takes no more connections than the clients' share of descriptors. What
@@ -103,9 +139,8 @@
 		delete(s.conns, c)
 		return
 	}
-	if state == http.StateIdle && s.leaving {
+	if state == http.StateIdle && s.leaving && closeFor(c, roomResting) {
 		delete(s.conns, c)
-		c.Close()
 		return
 	}
 	s.conns[c] = connState{state: state, since: time.Now()}
@@ -124,17 +159,27 @@
 // evict closes the connection that was idle longest or, with none idle, one that has brought
 // no whole request for long; s.mu is held.
 func (s *Server) evict() {
-	var out net.Conn
-	var first int
-	for c, cs := range s.conns {
-		rank, ok := cs.rank()
-		if ok && (out == nil || rank < first || rank == first && cs.since.Before(s.conns[out].since)) {
-			out, first = c, rank
+	spared := map[net.Conn]bool{} // more has come in than was told
+	for {
+		var out net.Conn
+		first := roomNone
+		for c, cs := range s.conns {
+			room := cs.room()
+			if room == roomNone || spared[c] {
+				continue
+			}
+			if out == nil || room < first || room == first && cs.since.Before(s.conns[out].since) {
+				out, first = c, room
+			}
 		}
-	}
-	if out != nil {
-		delete(s.conns, out)
-		out.Close()
+		switch {
+		case out == nil:
+			return
+		case closeFor(out, first):
+			delete(s.conns, out)
+			return
+		}
+		spared[out] = true
 	}
 }
 
--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -28,16 +30,26 @@
 	if err != nil {
 		return nil, err
 	}
-	return &framedConn{Conn: c, head: requestHead{began: time.Now()}}, nil
+	return newFramedConn(c), nil
+}
+
+func newFramedConn(c net.Conn) *framedConn {
+	framed := &framedConn{Conn: c, head: requestHead{began: time.Now()}}
+	if sc, ok := c.(syscall.Conn); ok {
+		framed.raw, _ = sc.SyscallConn() // an error is that of a closed connection, which Read tells as well
+	}
+	return framed
 }
 
 // framedConn follows the framing of what its connection brings, from head to head.
 type framedConn struct {
 	net.Conn
-	closed  atomic.Bool // by us, whatever may have been read from it
-	release func()      // gives back its place at the first Close; may be nil
+	raw     syscall.RawConn // of Conn; nil where there is none, as in tests without sockets
+	closed  atomic.Bool     // by us, whatever may have been read from it
+	release func()          // gives back its place at the first Close; may be nil
 
 	mu    sync.Mutex    // net/http reads ahead while the handler runs
+	ended bool          // nothing more is read, as the connection is about to be closed
 	heads []requestHead // of requests that no handler has yet, in their order
 	at    place
 	left  int64       // bytes of the body or chunk still to come
@@ -72,12 +84,107 @@
 // lineMost is how much of a line is kept. A framing line that is longer is odd.
 const lineMost = 128
 
-func (c *framedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+// Read reads and takes in what came in one step under c.mu, so that whoever closes the
+// connection for bringing nothing knows of all that was read.
+func (c *framedConn) Read(p []byte) (n int, err error) {
+	if c.raw == nil {
+		n, err = c.Conn.Read(p)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.follow(p[:n])
+		return n, err
+	}
+	var failed error
+	err = c.raw.Read(func(fd uintptr) (done bool) {
+		n, done, failed = c.readNow(int(fd), p)
+		return done
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case failed != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: failed}
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// readNow reads what there is; it is not done where there is nothing yet.
+func (c *framedConn) readNow(fd int, p []byte) (n int, done bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ended {
+		return 0, true, net.ErrClosed
+	}
+	n, err = retryInterrupted(func() (int, error) { return unix.Read(fd, p) })
+	if err == unix.EAGAIN {
+		return 0, false, nil
+	}
+	if err != nil {
+		return 0, true, os.NewSyscallError("read", err)
+	}
 	c.follow(p[:n])
-	return n, err
+	return n, true, nil
+}
+
+// retryInterrupted makes a system call until no signal interrupts it.
+func retryInterrupted[T any](call func() (T, error)) (result T, err error) {
+	for {
+		if result, err = call(); err != unix.EINTR {
+			return result, err
+		}
+	}
+}
+
+// closeResting closes a connection without a request if nothing of one has come in.
+func (c *framedConn) closeResting() bool {
+	return c.closeIf(func() bool { return len(c.heads) == 0 && c.at == inHead && !c.head.started && len(c.line) == 0 })
+}
+
+// closeWithoutHead closes a connection without a request unless the head of one has come whole.
+func (c *framedConn) closeWithoutHead() bool {
+	return c.closeIf(func() bool { return len(c.heads) == 0 && c.at == inHead })
+}
+
+// closeWithoutBody closes a connection whose request is being read unless it has come whole.
+func (c *framedConn) closeWithoutBody() bool {
+	return c.closeIf(func() bool { return c.at != inHead })
+}
+
+// closeIf closes the connection if that may be and no bytes wait to be read; what was read
+// after that is not taken in. It says whether it did.
+func (c *framedConn) closeIf(may func() bool) bool {
+	c.mu.Lock()
+	close := !c.ended && may() && !c.unread()
+	c.ended = c.ended || close
+	c.mu.Unlock()
+	if close {
+		c.Close() // not under c.mu: it waits for the reader
+	}
+	return close
+}
+
+// unread says whether bytes have come in that nobody has read; c.mu is held.
+func (c *framedConn) unread() bool {
+	if c.raw == nil {
+		return false
+	}
+	waiting := 0
+	c.raw.Control(func(fd uintptr) { // an error is that of a closed connection
+		waiting, _ = peek(int(fd))
+	})
+	return waiting > 0
+}
+
+// peek looks for a byte that has come in, without waiting: 1 there is one, 0 the other side has
+// ended its sending, EAGAIN neither.
+func peek(fd int) (int, error) {
+	return retryInterrupted(func() (int, error) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return n, err
+	})
 }
 
 // follow takes in what has been read.
@@ -212,18 +319,13 @@
 	if c.closed.Load() {
 		return true
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if c.raw == nil {
 		return false
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
 	gone := false
-	err = raw.Control(func(fd uintptr) {
+	err := c.raw.Control(func(fd uintptr) {
 		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(fds, 0)
+		n, err := retryInterrupted(func() (int, error) { return unix.Poll(fds, 0) })
 		gone = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
 	return gone || err != nil
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -276,8 +276,7 @@
 	}
 	open := false
 	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		_, err := peek(int(fd))
 		open = err == syscall.EAGAIN
 		return true
 	})
--- a/internal/gateway/notified_test.go
+++ b/internal/gateway/notified_test.go
@@ -86,6 +86,13 @@
 	}
 }
 
+// called is how many calls came.
+func (d *bubbleDiscovery) called() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.calls)
+}
+
 // A call that is given up keeps its place at a discovery that serves calls in turn, so one
 // that is made anew while it waits is work for nothing, and all behind it are told later.
 func TestCallThatWaitsItsTurnIsNotMadeAnew(t *testing.T) {
@@ -97,10 +104,10 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer settle(cancel, disco)
 		bubbleFleet(t, ctx, n, disco, gateways)
-		before := len(disco.calls)
+		before := disco.called()
 		disco.end()
 		time.Sleep(lynxspool.ToldAfter)
-		if calls := len(disco.calls) - before; calls != gateways {
+		if calls := disco.called() - before; calls != gateways {
 			t.Errorf("%d gateways made %d calls after their watches were reset", gateways, calls)
 		}
 	})
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -61,34 +61,38 @@
 	return len(s.conns) > 0
 }
 
-// finish closes what is left once no connection holds a request or may yet bring its first,
-// and says whether that is so. It is one step under s.mu: a request that is read after it
-// finds its connection closed, and is not sent on.
+// finish closes what holds no request and may not yet bring its first, and says whether that
+// was all. A request that is read after it finds its connection closed, and is not sent on.
 func (s *Server) finish() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range s.conns {
-		if c.state == http.StateActive || c.state == http.StateNew && time.Since(c.since) < lingerTime {
+	for c, cs := range s.conns {
+		young := time.Since(cs.since) < lingerTime
+		why := roomWithoutHead
+		switch {
+		case cs.state == http.StateActive || cs.state == http.StateNew && young:
 			return false
+		case cs.state == http.StateIdle && bringsHead(c, lingerTime):
+			why = roomResting // the rest of it may be on its way
 		}
-	}
-	for c := range s.conns {
-		c.Close()
+		if !closeFor(c, why) {
+			return false
+		}
+		delete(s.conns, c)
 	}
 	return true
 }
 
 // closeIdle closes the connections that hold no request, and has those closed that hold
-// none from now on. http.Server.Shutdown would do it as well, but without s.mu, under which
-// a connection is either idle or its request goes on.
+// none from now on. http.Server.Shutdown would do it as well, but by what it knows of them,
+// which is behind what was read.
 func (s *Server) closeIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = true
 	for c, cs := range s.conns {
-		if cs.state == http.StateIdle {
+		if cs.state == http.StateIdle && closeFor(c, roomResting) {
 			delete(s.conns, c)
-			c.Close()
 		}
 	}
 }
