--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -24,6 +24,7 @@
 
 	// All below belongs to the goroutine of Run.
 	clock  clock
+	wall   func() time.Time // as peers tell the time, which may be stepped; time.Now but in tests
 	bal    *lynxspool.Balancer
 	acts   []lynxspool.Action
 	timers timers
@@ -69,7 +70,7 @@
 	}
 	l := &Loop{
 		events: make(chan func(lynxspool.Time), 1024), done: make(chan struct{}),
-		clock: clock{time.Now()}, bal: bal, pool: pool, watch: watch,
+		clock: clock{time.Now()}, wall: time.Now, bal: bal, pool: pool, watch: watch,
 		hosts: map[lynxspool.HostID]*host{}, open: map[lynxspool.RequestID]*exchange{},
 		zones: cfg.Zones, kinds: cfg.Kinds, named: map[string]bool{}, banned: map[string]bool{},
 		listed: make(chan struct{}),
--- /dev/null
+++ b/internal/gateway/step_test.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lynxspool"
+)
+
+// The wall clock of all machines, or of the gateway's alone, is stepped while it runs, and
+// then a server is started anew. It gets little while it is cold, and its part once it is warm.
+func TestStartedServerIsColdAcrossAStepOfTheClock(t *testing.T) {
+	for _, step := range []time.Duration{0, time.Hour, -time.Hour, 5 * time.Second, -5 * time.Second} {
+		for _, all := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%v, of all %t", step, all), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { startAfterStep(t, step, all) })
+			})
+		}
+	}
+}
+
+func startAfterStep(t *testing.T, step time.Duration, all bool) {
+	const warmAfter = 20 * time.Second
+	n := newBubbleNet()
+	hosts := bubbleHosts(n, 2)
+	for _, h := range hosts {
+		h.work = 400 * time.Millisecond // 2.5 a second one after the other, so a cold one may get 5
+	}
+	cfg := bubbleConfig(false, 1, 0, "discovery:80", hosts)
+	cfg.Settings.ColdFrom, cfg.Settings.WarmAfter = 0.1, warmAfter
+	cfg.Settings.OverloadFactor, cfg.Settings.Fall = 2, time.Second
+	ctx, cancel := context.WithCancel(t.Context())
+	g := startBubble(t, ctx, n, cfg)
+	defer settle(cancel)
+	stop := make(chan struct{})
+	defer close(stop)
+	fleetTraffic([]*bubbleGateway{g}, stop)
+	time.Sleep(5 * time.Second)
+	g.loop.post(func(lynxspool.Time) {
+		g.loop.wall = func() time.Time { return time.Now().Add(step) }
+	})
+	began := time.Now()
+	started := began
+	if all {
+		started = began.Add(step)
+	}
+	g.loop.Members(lynxspool.ListChanges, MemberList{Version: 60, Servers: []Member{
+		{ID: hosts[0].id, Addr: hosts[0].addr, State: "ready", StartedMS: started.UnixMilli()}}})
+	time.Sleep(warmAfter + 10*time.Second)
+	// 40 requests a second: a warm server gets half of them.
+	if got := hosts[0].between(began, began.Add(time.Second)); got > 6 {
+		t.Errorf("the server gets %d requests in the first second after its start", got)
+	}
+	if got := hosts[0].between(began.Add(warmAfter+5*time.Second), time.Now()); got < 50 {
+		t.Errorf("once it is warm the server gets %d requests in 5 s", got)
+	}
+}
