Read a server's start by the wall clock of then and of now, and take the later

Symptom: after a step of the wall clock back by an hour a server that starts gets what a warm one gets (slow start broken); after one forward it stays cold for an hour. Cause: started_ms was taken as time on the module's clock, which is the wall clock at the gateway's start, continued (loop.go, members). Ruled out: the module, which has no wall clock. Change: each start is converted once, when it is first told, by both readings; the later one, now at the latest, counts. Result: TestStartedServerIsColdAcrossAStepOfTheClock passes for steps of 0, 5 s and an hour either way, of all machines and of the gateway's alone. A process that starts after a step cannot tell; it reads by its own clock.

--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -58,6 +58,10 @@
 	addr    string
 	started int64     // no connection outlives the process it was made to
 	heard   time.Time // last whole answer
+
+	// Of the loop: when it says that it started, as told and by the module's clock.
+	startedMS int64
+	startedAt lynxspool.Time
 }
 
 // conn is a connection to a host. It belongs to one attempt or, while idle, to the
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -5,6 +5,7 @@
 	"context"
 	"hash/fnv"
 	"log/slog"
+	"math"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -44,8 +45,7 @@
 }
 
 // clock is the module's: Unix time as it was at the start, monotonic from then
-// on. So started_ms converts without reference to now, the same each time it is
-// told, and a step of the wall clock moves nothing.
+// on. A step of the wall clock moves nothing.
 type clock struct {
 	start time.Time
 }
@@ -56,6 +56,24 @@
 	return lynxspool.Time(c.start.UnixNano()) + t.Sub(c.start)
 }
 
+// latestStart is beyond any start, in Unix ms; what is later than that would overflow.
+const latestStart = math.MaxInt64 / 4 / int64(time.Millisecond)
+
+// started is when a host started that says so by the wall clock, which may have been stepped
+// since our start, on all machines or on this one. So both readings are taken, by the wall
+// clock as it was at our start and as it is now, and the later counts: a host that is taken
+// for cold too long gets less for a while, one taken for warm falls over.
+func (c clock) started(unixMS int64, wall time.Time) lynxspool.Time {
+	if unixMS <= 0 {
+		return 0 // long ago
+	}
+	unixMS = min(unixMS, latestStart)
+	now := c.now()
+	byStart := lynxspool.Time(unixMS) * lynxspool.Time(time.Millisecond)
+	byNow := now - lynxspool.Time(wall.UnixMilli()-unixMS)*lynxspool.Time(time.Millisecond)
+	return min(now, max(byStart, byNow))
+}
+
 // time is the instant of a module time, with a monotonic reading.
 func (c clock) time(t lynxspool.Time) time.Time {
 	return c.start.Add(t - lynxspool.Time(c.start.UnixNano()))
@@ -245,7 +263,7 @@
 			m := &list.Servers[i]
 			e := lynxspool.Host{
 				ID: hostID(m.ID), Zone: number(l.zones, m.Zone), Cell: m.Cell, Kind: number(l.kinds, m.Kind),
-				State: m.state(), Started: lynxspool.Time(m.StartedMS) * lynxspool.Time(time.Millisecond),
+				State: m.state(),
 			}
 			h := l.hosts[e.ID]
 			if h == nil && e.State == lynxspool.Removed {
@@ -261,6 +279,10 @@
 				slog.Error("host left out: its id collides with another's", "host", m.ID, "other", h.id)
 				continue
 			}
+			if h.startedMS != m.StartedMS { // the same each time it is told
+				h.startedMS, h.startedAt = m.StartedMS, l.clock.started(m.StartedMS, l.wall())
+			}
+			e.Started = h.startedAt
 			listed[e.ID] = true
 			entries = append(entries, e)
 			l.pool.update(h, m.Addr, m.StartedMS, e.State == lynxspool.Ready)
