Hold failures of the gateway's own machine against no server

Symptom: a connect that fails with EADDRNOTAVAIL, ENOBUFS, ENOMEM, EAGAIN or ENETDOWN ejects the server; a write or read that fails so counts as its reset. Cause: hosts.go knew only EMFILE and ENFILE of the dial. Change: localFailure covers socket, connect, write and read; before the last byte the attempt was not sent, after it it is called off (it may have run). ENETUNREACH stays the server's: others can be reached.

--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -349,7 +349,7 @@
 				return lynxspool.ConnectFailed, answer{}
 			}
 			return unsent(ctx), answer{}
-		case err == errNoSockets || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE):
+		case err == errNoSockets || localFailure(err):
 			return lynxspool.NotSent, answer{} // the want is ours, not the host's
 		case err != nil:
 			return lynxspool.ConnectFailed, answer{}
@@ -375,6 +375,23 @@
 	}
 }
 
+// localFailure says that a call to the system failed for want of something on this machine:
+// descriptors, ports, buffers, memory, or its network as a whole. It tells nothing of the host.
+// A network that has no way to a host (ENETUNREACH, EHOSTUNREACH) is the host's failure: others
+// can be reached.
+func localFailure(err error) bool {
+	var errno syscall.Errno
+	if !errors.As(err, &errno) {
+		return false
+	}
+	switch errno {
+	case syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EADDRINUSE,
+		syscall.EAGAIN, syscall.ENETDOWN:
+		return true
+	}
+	return false
+}
+
 // late says whether it is too late to write the request.
 func (t *try) late() bool { return !t.by.IsZero() && !time.Now().Before(t.by) }
 
@@ -423,6 +440,9 @@
 		case ctx.Err() != nil:
 			return unsent(ctx), answer{}
 		}
+		if localFailure(err) {
+			return lynxspool.NotSent, answer{}
+		}
 		if x.upload != nil {
 			t.took = max(1, c.since.Sub(t.from)) // the rest is the client's time
 		}
@@ -449,6 +469,8 @@
 		return lynxspool.TimedOut, answer{}
 	case ctx.Err() != nil:
 		return lynxspool.Canceled, answer{}
+	case localFailure(err):
+		return lynxspool.Canceled, answer{} // it may have run, and nothing is known of the host
 	case early && broken(err):
 		return lynxspool.ConnectFailed, answer{}
 	case broken(err):
