--- a/internal/gateway/bans.go
+++ b/internal/gateway/bans.go
@@ -106,7 +106,7 @@
 			now[id] = true
 		case kind+"-" == backPrefix && !b.looked:
 			if info, err := e.Info(); err == nil {
-				loop.calledBack(id, info.ModTime())
+				loop.calledBack(id, calledBackAt(filepath.Join(b.dir, e.Name()), info))
 			}
 		}
 	}
@@ -124,6 +124,9 @@
 	return nil
 }
 
+// calledBackAt is when the mark of a call back was written.
+func calledBackAt(_ string, mark fs.FileInfo) time.Time { return mark.ModTime() }
+
 // Watch looks again and again, until done is closed.
 func (b *Bans) Watch(loop *Loop, done <-chan struct{}) {
 	tick := time.NewTicker(bansEvery)
