Change all or nothing at a maintenance call, and date a call back by the machine's own clock

Symptom: a call back whose ban cannot be removed is answered 500 and leaves the mark of a call back; a ban whose old mark cannot be removed is answered 500 and is kept on disk, not in force. A process that starts after a step of the wall clock takes a host that was just called back for warm. Cause: bans.go wrote, removed and returned without undoing, and dated the mark by the time of its file. Change: what a failed call has written is undone; files and folder are synced before the answer; the mark holds the time since boot, and the time of the file counts only where that cannot be read.

--- a/internal/gateway/bans.go
+++ b/internal/gateway/bans.go
@@ -8,9 +8,12 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -25,7 +28,7 @@
 )
 
 // Bans keeps which hosts operators have taken out, in a folder that both processes of an
-// upgrade share: one empty file a host, so that no two writes can spoil each other.
+// upgrade share: one file a host, so that no two writes can spoil each other.
 type Bans struct {
 	dir string // "": bans end with the process
 
@@ -53,21 +56,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.dir != "" {
-		ban := filepath.Join(b.dir, banPrefix+url.QueryEscape(id))
-		back := filepath.Join(b.dir, backPrefix+url.QueryEscape(id))
-		write, remove := ban, back
+		keep := b.keepBan
 		if !out {
-			write, remove = back, ban
-		}
-		if !out && !b.out[id] {
-			write = "" // it is in use: a call that is repeated does not make it cold anew
-		}
-		if write != "" {
-			if err := os.WriteFile(write, nil, 0o600); err != nil {
-				return err
-			}
+			keep = b.keepCallBack
 		}
-		if err := os.Remove(remove); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		if err := keep(id); err != nil {
 			return err
 		}
 	}
@@ -75,6 +68,96 @@
 	return nil
 }
 
+func (b *Bans) banFile(id string) string { return filepath.Join(b.dir, banPrefix+url.QueryEscape(id)) }
+func (b *Bans) backFile(id string) string {
+	return filepath.Join(b.dir, backPrefix+url.QueryEscape(id))
+}
+
+// keepBan writes that a host is out. An error means that nothing has changed.
+func (b *Bans) keepBan(id string) error {
+	if err := b.write(b.banFile(id), ""); err != nil {
+		return err
+	}
+	if err := b.remove(b.backFile(id)); err != nil {
+		// Beside a ban the mark only says that the host is cold, once it is called back.
+		slog.Warn("mark of an older call back not removed", "host", id, "err", err)
+	}
+	return nil
+}
+
+// keepCallBack writes that a host is in use again, and since when. An error means that nothing
+// has changed.
+func (b *Bans) keepCallBack(id string) error {
+	if b.out[id] { // else it is in use: a call that is repeated does not make it cold anew
+		if err := b.write(b.backFile(id), strconv.FormatInt(int64(sinceBoot()), 10)); err != nil {
+			return err
+		}
+	}
+	err := b.remove(b.banFile(id))
+	if err != nil && b.out[id] {
+		b.undo(b.backFile(id))
+		if err := os.WriteFile(b.banFile(id), nil, 0o600); err != nil { // it may be gone, and that not yet kept
+			slog.Error("ban not kept after a call back that failed", "host", id, "err", err)
+		}
+	}
+	return err
+}
+
+// write makes a file that outlasts a loss of power, or none.
+func (b *Bans) write(path, text string) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.WriteString(text)
+	err = errors.Join(err, f.Sync(), f.Close())
+	if err == nil {
+		err = b.sync()
+	}
+	if err != nil {
+		b.undo(path)
+	}
+	return err
+}
+
+// remove removes a file, if it is there, so that it stays removed after a loss of power.
+func (b *Bans) remove(path string) error {
+	err := os.Remove(path)
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		return nil
+	case err != nil:
+		return err
+	}
+	return b.sync()
+}
+
+// sync makes what was created and removed in the folder last.
+func (b *Bans) sync() error {
+	dir, err := os.Open(b.dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(dir.Sync(), dir.Close())
+}
+
+// undo removes what a call has written that failed.
+func (b *Bans) undo(path string) {
+	if err := os.Remove(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		slog.Error("what a failed call has written is not removed", "file", path, "err", err)
+	}
+}
+
+// sinceBoot is the time since the machine started, which no step of the wall clock changes and
+// all its processes read alike; 0 where it cannot be read.
+func sinceBoot() time.Duration {
+	var at unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &at); err != nil {
+		return 0
+	}
+	return time.Duration(at.Nano())
+}
+
 // tell is called with b.mu held, so that the loop hears of changes in their order.
 func (b *Bans) tell(loop *Loop, id string, out bool) {
 	if out {
@@ -124,8 +207,19 @@
 	return nil
 }
 
-// calledBackAt is when the mark of a call back was written.
-func calledBackAt(_ string, mark fs.FileInfo) time.Time { return mark.ModTime() }
+// calledBackAt is when the mark of a call back was written: as it says itself, on the clock of
+// this boot, or else by the time of the file.
+func calledBackAt(path string, mark fs.FileInfo) time.Time {
+	now := time.Now()
+	if text, err := os.ReadFile(path); err == nil {
+		written, err := strconv.ParseInt(string(text), 10, 64)
+		age := sinceBoot() - time.Duration(written)
+		if err == nil && age >= 0 {
+			return now.Add(-age)
+		}
+	}
+	return now.Add(-max(0, now.Sub(mark.ModTime())))
+}
 
 // Watch looks again and again, until done is closed.
 func (b *Bans) Watch(loop *Loop, done <-chan struct{}) {
