Tell a restarted gateway its known incarnation, so that it takes a higher one

Symptom: a gateway restarted after its wall clock was stepped back stays left or dead at its peers for good. Cause: the incarnation is the start in wall ms (membership.go, Start), and set ignores a lower one without telling its owner.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -36,8 +36,9 @@
 	Name  string `json:"name"`
 	Addr  string `json:"addr"`
 	State string `json:"state"`
-	// Incarnation is the process's: its start in Unix ms, from its metadata. A peer
-	// that says a lower one than the view holds is not believed.
+	// Incarnation is the process's: its start in Unix ms, from its metadata, or one more
+	// than a peer knew of it. A peer that says a lower one than the view holds is not
+	// believed; it is told which is known, and takes a higher one.
 	Incarnation uint64    `json:"incarnation"`
 	Confirmed   time.Time `json:"confirmed"` // last seen in this state or alive
 	Since       time.Time `json:"since"`     // of the present state
@@ -64,8 +65,8 @@
 type Node struct {
 	ml   *memberlist.Memberlist
 	self string
-	inc  uint64
-	bad  atomic.Int64 // packets and streams that could not be read
+	inc  atomic.Uint64 // incarnation of this process
+	bad  atomic.Int64  // packets and streams that could not be read
 	// leaving is said in the metadata before the goodbye: memberlist tells a goodbye and
 	// a death alike to the events, so the view tells them apart by this.
 	leaving atomic.Bool
@@ -104,9 +105,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("membership bind: port %q", portText)
 	}
-	n := &Node{self: opt.Name, inc: opt.Incarnation, view: map[string]*Peer{}, lists: opt.Lists, gives: newGives(), stopped: make(chan struct{})}
-	if n.inc == 0 {
-		n.inc = uint64(time.Now().UnixMilli())
+	n := &Node{self: opt.Name, view: map[string]*Peer{}, lists: opt.Lists, gives: newGives(), stopped: make(chan struct{})}
+	n.inc.Store(opt.Incarnation)
+	if opt.Incarnation == 0 {
+		n.inc.Store(uint64(time.Now().UnixMilli()))
 	}
 	cfg := memberlist.DefaultLANConfig()
 	if opt.Local {
@@ -261,6 +263,10 @@
 	if m.Inc != 0 && m.Inc < p.Incarnation {
 		slog.Warn("membership: peer says an older incarnation, not believed", "peer", node.Name,
 			"incarnation", m.Inc, "known", p.Incarnation, "state", state)
+		if state == Alive {
+			peer := *node                              // memberlist changes it
+			go n.tellIncarnation(&peer, p.Incarnation) // not from here: memberlist holds its lock
+		}
 		return
 	}
 	if m.Inc > p.Incarnation {
@@ -323,7 +329,7 @@
 type delegate Node
 
 func (d *delegate) NodeMeta(limit int) []byte {
-	m := meta{Inc: d.inc, Leaving: d.leaving.Load()}
+	m := meta{Inc: d.inc.Load(), Leaving: d.leaving.Load()}
 	if l := d.load.Load(); l != nil {
 		m.Rank, m.Rate = l.rank, l.rate
 	}
@@ -346,6 +352,10 @@
 		go (*Node)(d).give(string(name)) // it may block on the peer
 		return
 	}
+	if known, ok := bytes.CutPrefix(b, []byte(incarnationWord)); ok {
+		(*Node)(d).raise(string(known))
+		return
+	}
 	name, ok := bytes.CutPrefix(b, []byte(leaveWord))
 	if !ok {
 		return
