End a client that stops within a request in time, also on a connection that rested

Symptom: a client that sends one to three bytes of a request on a connection that has had an answer is held for three minutes; one that stops after 30 to 65 KB of a short body for 3.3 to 4 s; after 1 MB of a long one for 20 s. 3 s are owed. Cause: net/http waits for the first four bytes with the idle time-out; the pace of a body (bulk.go) allowed its whole lead as time to stop in, and counted the time that we or a host kept the client waiting. Change: a head that has begun on an idle connection is due 2.3 s later, whatever deadline net/http sets; a body has 2.8 s or 1 s and its pace, waits of 2.3 s at most, and only the time in which the client was waited for counts.

--- a/internal/gateway/bulk.go
+++ b/internal/gateway/bulk.go
@@ -31,8 +31,11 @@
 	hostStall   = 5 * time.Second
 	clientStall = 10 * time.Second
 
-	// A client sends a body at 64 kB a second at the least.
-	bodyRate = 56_000
+	// A client sends a body at 64 kB a second at the least, and what does not come for bodyStall
+	// has stopped. What waits for us or for a host counts against no client.
+	bodyRate  = 56_000
+	bodySlack = time.Second
+	bodyStall = headerTimeout
 	// What a client still sends behind an early answer is read for this long: closing on
 	// it would reset the connection, and the answer with it.
 	drainTime = time.Second
@@ -79,7 +82,9 @@
 type clientBody struct {
 	body  io.Reader
 	rc    *http.ResponseController
-	start time.Time // of the request, or of its connection if that is its first
+	start time.Time     // of the request, or of its connection if that is its first
+	began bool          // the first read has begun
+	spent time.Duration // by the client: up to the first read, and in reads
 	got   int64
 
 	mu      sync.Mutex
@@ -97,12 +102,16 @@
 		b.mu.Unlock()
 		return 0, io.EOF // a deadline set now would end the wait for the next request
 	}
-	spared := time.Duration(float64(b.got) / bodyRate * float64(time.Second))
-	b.rc.SetReadDeadline(b.start.Add(requestTimeout + spared))
+	began := time.Now()
+	if !b.began {
+		b.began, b.spent = true, began.Sub(b.start)
+	}
+	b.rc.SetReadDeadline(began.Add(min(b.allowed()-b.spent, bodyStall)))
 	b.mu.Unlock()
 	n, err := b.body.Read(p)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.spent += time.Since(began)
 	b.got += int64(n)
 	b.ended = err == io.EOF
 	if b.got > maxBody {
@@ -111,6 +120,11 @@
 	return n, err
 }
 
+// allowed is the time that a client has for what it has sent of a request.
+func (b *clientBody) allowed() time.Duration {
+	return max(requestTimeout, bodySlack+time.Duration(float64(b.got)/bodyRate*float64(time.Second)))
+}
+
 // stop ends reading, also one that waits now. It says whether the body was read whole.
 func (b *clientBody) stop() bool {
 	b.mu.Lock()
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -133,6 +133,9 @@
 // track follows the clients' connections. Beyond the budget it closes one that holds no
 // request: it guards against running out of descriptors with requests in the backlog.
 func (s *Server) track(c net.Conn, state http.ConnState) {
+	if framed, ok := c.(*framedConn); ok {
+		framed.setIdle(state == http.StateIdle)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -51,6 +51,8 @@
 	mu    sync.Mutex    // net/http reads ahead while the handler runs
 	ended bool          // nothing more is read, as the connection is about to be closed
 	heads []requestHead // of requests that no handler has yet, in their order
+	idle  bool          // no request is being served, so what comes in begins one
+	due   time.Time     // a head that has begun to come in while idle has to be whole; zero: none has
 	at    place
 	left  int64       // bytes of the body or chunk still to come
 	line  []byte      // start of the line that is coming in
@@ -87,6 +89,11 @@
 // Read reads and takes in what came in one step under c.mu, so that whoever closes the
 // connection for bringing nothing knows of all that was read.
 func (c *framedConn) Read(p []byte) (n int, err error) {
+	defer func() {
+		if due := c.headDue(); !due.IsZero() {
+			c.Conn.SetReadDeadline(due)
+		}
+	}()
 	if c.raw == nil {
 		n, err = c.Conn.Read(p)
 		c.mu.Lock()
@@ -110,6 +117,37 @@
 	return n, nil
 }
 
+// SetReadDeadline sets the deadline of reads, or the time at which a head is due that has begun
+// to come in, if that is sooner: net/http waits for its first bytes as long as for a new request.
+func (c *framedConn) SetReadDeadline(t time.Time) error {
+	if due := c.headDue(); !due.IsZero() && (t.IsZero() || due.Before(t)) {
+		t = due
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// headDue is when a head that has begun to come in on an idle connection has to be whole; zero:
+// none has.
+func (c *framedConn) headDue() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle {
+		return time.Time{}
+	}
+	return c.due
+}
+
+// setIdle says whether a request is being served. The time of a head of which some came in
+// meanwhile begins when nothing is.
+func (c *framedConn) setIdle(idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = idle
+	if idle && !c.due.IsZero() {
+		c.due = time.Now().Add(headerTimeout)
+	}
+}
+
 // readNow reads what there is; it is not done where there is nothing yet.
 func (c *framedConn) readNow(fd int, p []byte) (n int, done bool, err error) {
 	c.mu.Lock()
@@ -117,8 +155,8 @@
 	if c.ended {
 		return 0, true, net.ErrClosed
 	}
-	n, err = retryInterrupted(func() (int, error) { return unix.Read(fd, p) })
-	if err == unix.EAGAIN {
+	n, err = retryInterrupted(func() (int, error) { return syscall.Read(fd, p) })
+	if err == syscall.EAGAIN {
 		return 0, false, nil
 	}
 	if err != nil {
@@ -131,7 +169,7 @@
 // retryInterrupted makes a system call until no signal interrupts it.
 func retryInterrupted[T any](call func() (T, error)) (result T, err error) {
 	for {
-		if result, err = call(); err != unix.EINTR {
+		if result, err = call(); err != syscall.EINTR {
 			return result, err
 		}
 	}
@@ -205,6 +243,7 @@
 		}
 		if c.at == inHead && c.head.began.IsZero() {
 			c.head.began = time.Now()
+			c.due = c.head.began.Add(headerTimeout)
 		}
 		part, rest, ended := bytes.Cut(in, []byte("\n"))
 		in = rest
@@ -281,6 +320,7 @@
 func (c *framedConn) body() {
 	h := &c.head
 	h.odd = h.odd || h.encoded && h.length != ""
+	c.due = time.Time{}
 	var err error
 	c.left = 0
 	if h.length != "" {
