--- a/api.go
+++ b/api.go
@@ -174,6 +174,9 @@
 	Rejected             // the host answered that the request itself is at fault
 )
 
+// ProvesNotRun says that an attempt that ended so never ran.
+func (r Result) ProvesNotRun() bool { return r == Full || r == ConnectFailed || r == NotSent }
+
 // Outcome is the end of one attempt. Each Send has exactly one.
 type Outcome struct {
 	Request RequestID
@@ -189,19 +192,20 @@
 
 // Kinds of action.
 const (
-	Send   ActionKind = iota // start an attempt of Request at Host, give it up at At (0: at the client's deadline); if not written whole by By (0: no limit) it must not be
-	Cancel                   // call off Attempt of Request
-	Refuse                   // final answer: turned away, trying again is harmless; After is advice (0: none)
-	Fail                     // final answer: an error that promises nothing
-	Wake                     // call Timer with Token at At or soon after
-	Close                    // close the idle connections to Host
-	Watch                    // ask discovery for changes from now on
-	Log                      // a line for those on call
+	Send     ActionKind = iota // start an attempt of Request at Host, give it up at At (0: at the client's deadline); if not written whole by By (0: no limit) it must not be
+	Cancel                     // call off Attempt of Request
+	Refuse                     // final answer: turned away, trying again is harmless; After is advice (0: none)
+	Fail                       // final answer: an error that promises nothing
+	Wake                       // call Timer with Token at At or soon after
+	Close                      // close the idle connections to Host
+	Watch                      // ask discovery for changes from now on
+	Log                        // a line for those on call
+	ColdOver                   // nothing to do: a Send to Host was beyond its cold budget, which must not be
 )
 
 var (
 	resultNames = [...]string{"OK", "Failed", "Full", "TimedOut", "ConnectFailed", "Reset", "Canceled", "NotSent", "Rejected"}
-	actionNames = [...]string{"Send", "Cancel", "Refuse", "Fail", "Wake", "Close", "Watch", "Log"}
+	actionNames = [...]string{"Send", "Cancel", "Refuse", "Fail", "Wake", "Close", "Watch", "Log", "ColdOver"}
 )
 
 // String names the result, for logs.
--- a/cmd/catalog/main.go
+++ b/cmd/catalog/main.go
@@ -28,7 +28,7 @@
 )
 
 func main() {
-	log := logwriter.Install()
+	log := logwriter.Install(slog.LevelInfo)
 	err := run(os.Args[1:], log)
 	if err != nil {
 		fmt.Fprintln(log, "catalog:", err)
--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -38,7 +38,7 @@
 const memoryShare = 0.7
 
 func main() {
-	log := logwriter.Install()
+	log := logwriter.Install(level(os.Getenv("GW_LOG")))
 	cfg, err := gateway.Load(os.Getenv)
 	if err == nil {
 		err = run(cfg)
@@ -52,6 +52,14 @@
 	}
 }
 
+// level is how much is logged: "debug" adds two lines for each attempt.
+func level(name string) slog.Level {
+	if name == "debug" {
+		return slog.LevelDebug
+	}
+	return slog.LevelInfo
+}
+
 // run serves until SIGTERM or SIGINT, and then ends in order. SIGHUP makes it read the
 // configuration file anew.
 func run(cfg *gateway.Config) error {
@@ -166,7 +174,7 @@
 			}()
 			server.Shutdown()
 			<-left
-			slog.Info("stopped")
+			loop.Audit.Log("stopped")
 			return nil
 		}
 	}
--- a/cold.go
+++ b/cold.go
@@ -1,5 +1,7 @@
 package lynxspool
 
+import "math"
+
 // Cold hosts: how much a host that has just started is sent, so that the bank as a whole
 // does not push it over.
 
@@ -13,6 +15,7 @@
 func (b *Balancer) chill(h *host, since Time) {
 	if b.set.ColdFrom < 1 && b.now-since < b.set.WarmAfter {
 		h.cold, h.coldAt, h.able = true, max(h.coldAt, since), mean{}
+		h.coldSent, h.coldAllowed = 0, 0
 		// The first of each instance falls anywhere within its mean gap: so the bank's sends
 		// come evenly from the first moment, however long the gap of one instance is.
 		h.coldLast, h.coldGap, h.coldBy = b.now, b.float(), 0
@@ -35,9 +38,23 @@
 // paceCold notes a send to a cold host and draws the gap to the next, by chance so that a
 // bank that was told at once does not send at once.
 func (b *Balancer) paceCold(h *host) {
+	h.coldSent++
+	h.coldAllowed += b.coldRate(h) * (b.now - h.coldLast).Seconds()
+	if h.coldBy == 0 && h.coldSent > coldBudget(h.coldAllowed) {
+		b.act(Action{Kind: ColdOver, Host: h.ID})
+	}
 	h.coldLast, h.coldGap, h.coldBy = b.now, 0.5+b.float(), 0
 }
 
+// coldBudget is how many sends may come of n in the mean, by chance: the slack that the rule on
+// cold hosts leaves.
+func coldBudget(n float64) float64 {
+	if n < 30 {
+		return n + 3*math.Sqrt(n) + 3
+	}
+	return n + 2*math.Sqrt(n) + 2
+}
+
 // coldRate is how many requests a second this instance may send a cold host: the factor,
 // less the margin, times what the host can surely do now, of this instance's part.
 //   - What this instance gets from a warm host, summed over those that share it, is within
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -41,6 +41,8 @@
 	maxIdle time.Duration
 	limit   int // connections at most, all hosts together
 	kept    *budget
+	audit   *Audit
+	grace   time.Duration // after which nothing new goes to a server that leaves
 
 	mu     sync.Mutex
 	open   int               // connections, in use, idle and being dialled
@@ -52,9 +54,10 @@
 // Pool.mu guards all but id and usable.
 type host struct {
 	id      string
-	usable  atomic.Bool // it takes new requests: not so when draining, gone or banned
-	ready   bool        // so the list says
-	banned  bool        // an operator has taken it out
+	usable  atomic.Bool               // it takes new requests: not so when draining, gone or banned
+	leftAt  atomic.Pointer[time.Time] // since when it is not usable; nil: it is, or never was
+	ready   bool                      // so the list says
+	banned  bool                      // an operator has taken it out
 	addr    string
 	started int64     // no connection outlives the process it was made to
 	heard   time.Time // last whole answer
@@ -87,6 +90,11 @@
 		budget:  cfg.Sockets * hostSockets / 100,
 		idle:    map[*host][]*conn{},
 		kept:    newBudget(cfg),
+		audit:   &Audit{},
+		grace:   cfg.Settings.DrainGrace,
+	}
+	if p.grace == 0 {
+		p.grace = time.Second
 	}
 	p.dial = p.dialer.DialContext
 	return p
@@ -146,7 +154,7 @@
 	p.mu.Lock()
 	h.ready = ready
 	usable := ready && !h.banned
-	h.usable.Store(usable)
+	h.setUsable(usable)
 	stale := !usable || h.addr != addr || h.started != started
 	h.addr, h.started = addr, started
 	p.mu.Unlock()
@@ -155,12 +163,22 @@
 	}
 }
 
+// setUsable says whether a host takes new requests, and since when not.
+func (h *host) setUsable(usable bool) {
+	if h.usable.Swap(usable); usable {
+		h.leftAt.Store(nil)
+	} else if h.leftAt.Load() == nil {
+		now := time.Now()
+		h.leftAt.Store(&now)
+	}
+}
+
 // ban takes a host out of use or calls it back. It is started anew meanwhile, so no
 // idle connection outlives the ban.
 func (p *Pool) ban(h *host, out bool) {
 	p.mu.Lock()
 	h.banned = out
-	h.usable.Store(h.ready && !out)
+	h.setUsable(h.ready && !out)
 	p.mu.Unlock()
 	p.closeIdle(h)
 }
@@ -299,6 +317,8 @@
 	took time.Duration // ... for this long, if it does not run to the end
 
 	mu     sync.Mutex
+	ended  bool             // belongs to the loop
+	result lynxspool.Result // ... as does this
 	over   bool
 	passes bool // the answer is being passed on: it cannot be called off any more
 }
@@ -357,10 +377,7 @@
 		// The dial may have taken long: look again whether the request may go out. It
 		// guards against sending to a host that drains by now, or what has its answer, or for
 		// a client that has left while bytes that it had sent hid that.
-		if x.gone != nil && x.gone() {
-			x.finish(answer{kind: failed})
-		}
-		if x.over.Load() || !h.usable.Load() {
+		if !p.permit(h, x) {
 			p.put(c)
 			return lynxspool.NotSent, answer{}
 		}
@@ -375,6 +392,16 @@
 	}
 }
 
+// permit is the last look before the first byte of an attempt: whether the server still takes
+// requests, and whether the request still wants an answer and has a client to give it to.
+func (p *Pool) permit(h *host, x *exchange) bool {
+	if x.gone != nil && x.gone() {
+		x.leave()
+		x.finish(answer{kind: failed})
+	}
+	return !x.over.Load() && h.usable.Load()
+}
+
 // localFailure says that a call to the system failed for want of something on this machine:
 // descriptors, ports, buffers, memory, or its network as a whole. It tells nothing of the host.
 // A network that has no way to a host (ENETUNREACH, EHOSTUNREACH) is the host's failure: others
@@ -430,7 +457,9 @@
 		c.SetWriteDeadline(t.by)
 		defer c.SetWriteDeadline(time.Time{}) // ahead of the put below, as it is set later
 	}
-	early, err := c.write(x)
+	head, told := x.encode()
+	p.audit.sent(c.host, x, time.Now(), told, p.grace)
+	early, err := c.write(x, head)
 	if err != nil {
 		switch {
 		case errors.Is(err, errClient):
@@ -523,8 +552,8 @@
 
 // write sends the request, its last byte last. A body that is too long to be kept is
 // passed on as it comes; early says that the host has answered ahead of its end.
-func (c *conn) write(x *exchange) (early bool, err error) {
-	out := net.Buffers{x.encode()}
+func (c *conn) write(x *exchange, head []byte) (early bool, err error) {
+	out := net.Buffers{head}
 	up := x.upload
 	if up == nil {
 		if len(x.body) > 0 {
@@ -750,11 +779,11 @@
 	return out
 }
 
-// encode is the head of the request as it goes to a host, with the time left as of now.
-// Method, path and query go out just as they came.
-func (x *exchange) encode() []byte {
+// encode is the head of the request as it goes to a host, with the time left as of now, which
+// it returns too. Method, path and query go out just as they came.
+func (x *exchange) encode() (head []byte, left time.Duration) {
 	header := endToEnd(x.header)
-	left := x.left
+	left = x.left
 	if x.upload == nil {
 		left = max(0, time.Until(x.deadline))
 	}
@@ -775,5 +804,5 @@
 	fmt.Fprintf(&buf, "%s %s HTTP/1.1\r\nHost: %s\r\n", x.method, target, x.host)
 	header.Write(&buf) // a bytes.Buffer takes all
 	buf.WriteString("\r\n")
-	return buf.Bytes()
+	return buf.Bytes(), left
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -22,6 +22,7 @@
 	done   chan struct{} // closed when Run has returned
 	ready  atomic.Bool   // a host is known that takes requests
 	rules  atomic.Pointer[Rules]
+	Audit  Audit
 
 	// All below belongs to the goroutine of Run.
 	clock  clock
@@ -93,6 +94,7 @@
 		zones: cfg.Zones, kinds: cfg.Kinds, named: map[string]bool{}, banned: map[string]bool{},
 		listed: make(chan struct{}),
 	}
+	pool.audit = &l.Audit
 	l.rules.Store(&cfg.Rules)
 	return l, nil
 }
@@ -364,10 +366,20 @@
 			l.watch()
 		case lynxspool.Log:
 			slog.Info(a.Text)
+		case lynxspool.ColdOver:
+			count(&l.Audit.coldOver, "cold server sent more than its budget", "host", l.nameOf(a.Host))
 		}
 	}
 }
 
+// nameOf is the name of a host, for the log.
+func (l *Loop) nameOf(id lynxspool.HostID) string {
+	if h := l.hosts[id]; h != nil {
+		return h.id
+	}
+	return ""
+}
+
 // send starts an attempt; its end comes back as one event, whatever happens.
 func (l *Loop) send(a *lynxspool.Action) {
 	x, h := l.open[a.Request], l.hosts[a.Host]
@@ -385,6 +397,8 @@
 		t.by = l.clock.time(a.By)
 	}
 	n := len(x.attempts)
+	l.Audit.attempt(x, t.from)
+	slog.Debug("attempt begins", "id", x.requestID(), "attempt", n, "host", h.id)
 	x.attempts = append(x.attempts, t)
 	x.out++
 	timeOut := func() { t.end(context.DeadlineExceeded) }
@@ -413,6 +427,8 @@
 // itself; the Balancer is told so.
 func (l *Loop) ended(now lynxspool.Time, x *exchange, n int, result lynxspool.Result, good answer) {
 	x.out--
+	x.attempts[n].ended, x.attempts[n].result = true, result
+	slog.Debug("attempt ended", "id", x.requestID(), "attempt", n, "result", result.String())
 	if result == lynxspool.OK {
 		x.finish(good)
 	}
--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -19,6 +19,7 @@
 const (
 	pathHealthcheck = "/healthcheck"
 	pathMembership  = "/members"
+	pathAudit       = "/audit"
 	pathHosts       = "/hosts/" // ID/maint or ID/ready
 
 	// An answer is due within 1 s of a call. Who sends none holds a connection for
@@ -112,7 +113,7 @@
 	path := r.URL.EscapedPath()
 	method := http.MethodPut
 	id, verb, ok := hostCall(path)
-	if path == pathHealthcheck || path == pathMembership {
+	if path == pathHealthcheck || path == pathMembership || path == pathAudit {
 		method, ok = http.MethodGet, true
 	}
 	switch {
@@ -127,6 +128,9 @@
 			return
 		}
 		io.WriteString(w, "ok\n")
+	case path == pathAudit:
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(o.loop.Audit.Figures())
 	case path == pathMembership:
 		if o.Members == nil {
 			no(http.StatusNotFound, errors.New("membership is off"))
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -58,7 +58,10 @@
 	left          time.Duration             // that the client waits from its last byte on
 	deadline      time.Time                 // when its answer is due; of an upload, once it is whole
 
-	gone func() bool // whether the client has left, as far as its connection tells; may be nil
+	until time.Time // when the client stops waiting, as it said; zero for an upload
+
+	gone   func() bool               // whether the client has left, as far as its connection tells; may be nil
+	goneAt atomic.Pointer[time.Time] // when that was noticed; nil: not yet
 
 	over   atomic.Bool // it is answered or nobody waits: set once, by finish
 	answer chan answer // holds the answer that finish was won with
@@ -68,6 +71,15 @@
 	out      int
 }
 
+// requestID is the id that the client gave.
+func (x *exchange) requestID() string { return x.header.Get(headRequestID) }
+
+// leave notes that its client has gone.
+func (x *exchange) leave() {
+	now := time.Now()
+	x.goneAt.CompareAndSwap(nil, &now)
+}
+
 // spent says that part of the body is gone, so that it cannot be sent again.
 func (x *exchange) spent() bool { return x.upload != nil && x.upload.spent }
 
@@ -199,7 +211,7 @@
 	came := time.Now()
 	if closed(r) {
 		// It crossed our closing the connection as idle: its client sends it again.
-		s.rejects.warn("request crossed the close of its connection", "id", r.Header.Get(headRequestID),
+		count(&s.loop.Audit.closedOwing, "request read from a connection that was closed", "id", r.Header.Get(headRequestID),
 			"peer", r.RemoteAddr)
 		return
 	}
@@ -266,6 +278,7 @@
 				timer.Reset(time.Until(s.due(x.deadline)))
 			}
 		case <-gone:
+			x.leave()
 			if x.close() {
 				s.loop.Abandon(x)
 			} else {
@@ -391,7 +404,7 @@
 		left = time.Duration(min(seconds, left.Seconds()) * float64(time.Second))
 	}
 	x.left = max(0, left-answerMargin)
-	x.deadline = came.Add(x.left)
+	x.deadline, x.until = came.Add(x.left), came.Add(left)
 	if r.ContentLength != 0 {
 		if status, err := s.readBody(w, r, x, began); err != nil {
 			return nil, status, err
@@ -433,6 +446,7 @@
 		x.upload = &upload{clientBody: body, length: -1, whole: make(chan struct{})}
 	}
 	x.deadline = time.Now().Add(x.left) // its time runs from its last byte
+	x.until = x.deadline.Add(answerMargin)
 	return 0, nil
 }
 
--- a/internal/logwriter/logwriter.go
+++ b/internal/logwriter/logwriter.go
@@ -41,10 +41,10 @@
 // Install leads the process's log to standard error through a Writer, by slog's default
 // logger and with it the standard log package. From then on a standard output or error that
 // nobody reads does not end the process by SIGPIPE.
-func Install() *Writer {
+func Install(level slog.Level) *Writer {
 	signal.Ignore(syscall.SIGPIPE)
 	w := New(os.Stderr, limit)
-	slog.SetDefault(slog.New(slog.NewTextHandler(w, nil)))
+	slog.SetDefault(slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})))
 	return w
 }
 
--- a/state.go
+++ b/state.go
@@ -99,12 +99,14 @@
 	ejectUntil Time
 	trialOut   bool // the one attempt of a host on trial is out
 
-	cold     bool // it started less than WarmAfter ago
-	coldAt   Time
-	coldLast Time    // the last send while cold, or when it was told
-	coldGap  float64 // ... and the next comes so many mean gaps later,
-	coldBy   Time    // or then at the latest; 0: no such time
-	able     mean    // RTT of good answers since its start, as of a typical class
+	cold        bool // it started less than WarmAfter ago
+	coldAt      Time
+	coldLast    Time    // the last send while cold, or when it was told
+	coldGap     float64 // ... and the next comes so many mean gaps later,
+	coldBy      Time    // or then at the latest; 0: no such time
+	coldSent    float64 // sends since it is cold,
+	coldAllowed float64 // ... and how many the pacing allowed in the mean
+	able        mean    // RTT of good answers since its start, as of a typical class
 }
 
 // class is a class of the settings with what is learnt of it. An open request holds on
@@ -323,7 +325,7 @@
 	return len(r.atts) > 0 && r.atts[len(r.atts)-1].result == Rejected
 }
 
-func (x Result) mayHaveRun() bool { return x != Full && x != ConnectFailed && x != NotSent }
+func (x Result) mayHaveRun() bool { return !x.ProvesNotRun() }
 
 // end closes a request that has its answer or needs none.
 func (b *Balancer) end(r *request) {
