--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -23,7 +23,7 @@
 func main() {
 	root := &cobra.Command{Use: "fleetlab", Short: "Experiments on a fleet of gateways",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(checkCmd(), runCmd(), tableCmd(), compareCmd(), plotCmd(), catalogCmd())
+	root.AddCommand(checkCmd(), runCmd(), tableCmd(), compareCmd(), plotCmd(), catalogCmd(), soakCmd())
 	// Ctrl-C ends a play in order: every process that it started has ended at its return.
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -181,6 +181,40 @@
 	return c
 }
 
+func soakCmd() *cobra.Command {
+	opt := fleetlab.SoakDefaults()
+	opt.Says = os.Stderr
+	var seeds int
+	c := &cobra.Command{Use: "soak", Short: "Run real processes under troubles that overlap, and judge them by the rules", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			broken := 0
+			for first := opt.Seed; opt.Seed < first+uint64(seeds); opt.Seed++ {
+				r, err := fleetlab.Soak(cmd.Context(), opt)
+				if err != nil {
+					return err
+				}
+				r.Print(os.Stdout)
+				broken += len(r.Violations)
+			}
+			if broken > 0 {
+				return fmt.Errorf("%d violations", broken)
+			}
+			return nil
+		}}
+	f := c.Flags()
+	f.StringVar(&opt.Bin, "bin", here(), "folder with the binaries dunemoor and catalog")
+	f.StringVar(&opt.Dir, "dir", "", "keep logs and data below this folder, which exists")
+	f.Uint64Var(&opt.Seed, "seed", opt.Seed, "first seed")
+	f.IntVar(&seeds, "seeds", 1, "runs, each with the next seed")
+	f.DurationVar(&opt.Length, "length", opt.Length, "of the load of a run")
+	f.IntVar(&opt.Gateways, "gateways", opt.Gateways, "gateway processes")
+	f.IntVar(&opt.Servers, "servers", opt.Servers, "servers")
+	f.IntVar(&opt.Catalogs, "catalogs", opt.Catalogs, "catalog processes")
+	f.Float64Var(&opt.Rate, "rate", opt.Rate, "requests a second over all gateways")
+	f.IntVar(&opt.Overlap, "overlap", opt.Overlap, "troubles under way at a time, about")
+	return c
+}
+
 // here is the folder of this program, where the others are built too.
 func here() string {
 	path, err := os.Executable()
--- /dev/null
+++ b/internal/fleetlab/soak.go
@@ -0,0 +1,218 @@
+package fleetlab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+// The soak runs real gateways and catalogs on loopback, with servers and clients of its own, and
+// lets troubles overlap that a seed draws. Servers and clients note what they see; when the run
+// is over, the rules are judged on those notes alone.
+
+// SoakOptions say how large a soak is.
+type SoakOptions struct {
+	RealOptions
+	Seed     uint64
+	Length   time.Duration // of the load; the end of what is out comes after it
+	Gateways int           // processes
+	Servers  int
+	Catalogs int     // processes
+	Rate     float64 // requests a second over all gateways
+	Overlap  int     // troubles at a time, about
+}
+
+// SoakDefaults is a soak of a few dozen processes.
+func SoakDefaults() SoakOptions {
+	return SoakOptions{Seed: 1, Length: time.Minute, Gateways: 24, Servers: 16, Catalogs: 3, Rate: 400, Overlap: 3}
+}
+
+// SoakReport is what a soak found.
+type SoakReport struct {
+	Seed       uint64
+	Timeline   []string // the troubles, in their order
+	Counts     SoakCounts
+	Violations []SoakViolation
+}
+
+// SoakCounts say how much the run exercised.
+type SoakCounts struct {
+	Requests, Served, Refused, Failed, Left, Excused int
+	BadClients, Runs, Restarts, Troubles             int
+}
+
+// SoakViolation is a rule that was broken, with the way of the request through every process.
+type SoakViolation struct {
+	Rule, Text string
+	Path       []string
+}
+
+// soak is a run.
+type soak struct {
+	opt   SoakOptions
+	dir   string
+	net   string
+	zero  time.Time
+	rng   *rand.Rand // of the plan alone: clients have their own
+	start *starter
+	ctx   context.Context
+
+	ledger   *ledger
+	gateways []*soakGateway
+	servers  []*soakServer
+	list     *soakList
+	busy     sync.WaitGroup // clients and troubles under way
+}
+
+// Soak runs one seed. The error says that it could not be run, not that rules were broken.
+func Soak(ctx context.Context, opt SoakOptions) (*SoakReport, error) {
+	for _, b := range []string{"dunemoor", "catalog"} {
+		if _, err := os.Stat(filepath.Join(opt.Bin, b)); err != nil {
+			return nil, fmt.Errorf("no %s in %s: go build -o bin/ ./cmd/... first", b, opt.Bin)
+		}
+	}
+	if opt.Says == nil {
+		opt.Says = io.Discard
+	}
+	dir, err := os.MkdirTemp(opt.Dir, "soak")
+	if err != nil {
+		return nil, err
+	}
+	if opt.Dir == "" {
+		defer os.RemoveAll(dir)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := &soak{opt: opt, dir: dir, ctx: ctx, net: fmt.Sprintf("127.%d.", 64+os.Getpid()%128),
+		rng: rand.New(rand.NewPCG(opt.Seed, 1)), start: newStarter(), ledger: newLedger()}
+	defer s.start.end()
+	defer s.close()
+	if err := s.setUp(); err != nil {
+		return nil, err
+	}
+	plan := s.plan()
+	s.play(plan)
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	return s.report(plan), nil
+}
+
+// now is the time since the load began.
+func (s *soak) now() time.Duration { return time.Since(s.zero) }
+
+// sleep waits until a time of the run and says whether it has not been ended before.
+func (s *soak) sleep(until time.Duration) bool {
+	select {
+	case <-s.ctx.Done():
+		return false
+	case <-time.After(until - s.now()):
+		return true
+	}
+}
+
+// setUp starts servers, catalogs and gateways, and waits until all gateways are ready.
+func (s *soak) setUp() error {
+	s.zero = time.Now()
+	var err error
+	if s.list, err = startSoakList(s); err != nil {
+		return err
+	}
+	for i := range s.opt.Servers {
+		server, err := startSoakServer(s, i)
+		if err != nil {
+			return err
+		}
+		s.servers = append(s.servers, server)
+		if err := s.list.put(server, stateReady); err != nil {
+			return err
+		}
+	}
+	for i := range s.opt.Gateways {
+		g := newSoakGateway(s, i)
+		s.gateways = append(s.gateways, g)
+		if err := g.startProcess(); err != nil {
+			return err
+		}
+	}
+	for _, g := range s.gateways {
+		if !g.awaitReady(30 * time.Second) {
+			return fmt.Errorf("%s is not ready after 30 s", g.name)
+		}
+	}
+	s.zero = time.Now()
+	return nil
+}
+
+// play sends the load and works off the plan.
+func (s *soak) play(plan []trouble) {
+	for i := range plan {
+		t := &plan[i]
+		s.busy.Add(1)
+		go func() {
+			defer s.busy.Done()
+			if s.sleep(t.at) {
+				t.do(t)
+			}
+		}()
+	}
+	s.runClients()
+	s.busy.Wait()
+}
+
+// close ends every process and listener.
+func (s *soak) close() {
+	var ends sync.WaitGroup
+	for _, g := range s.gateways {
+		ends.Add(1)
+		go func() { defer ends.Done(); g.kill() }()
+	}
+	ends.Wait()
+	if s.list != nil {
+		s.list.close()
+	}
+	for _, server := range s.servers {
+		server.close()
+	}
+}
+
+// report ends the gateways in order and judges all that was noted.
+func (s *soak) report(plan []trouble) *SoakReport {
+	var ends sync.WaitGroup
+	for _, g := range s.gateways {
+		ends.Add(1)
+		go func() { defer ends.Done(); g.endInOrder() }()
+	}
+	ends.Wait()
+	r := &SoakReport{Seed: s.opt.Seed}
+	for i := range plan {
+		r.Timeline = append(r.Timeline, plan[i].String())
+	}
+	r.Counts.Troubles = len(plan)
+	s.judge(r)
+	return r
+}
+
+// Print writes a report.
+func (r *SoakReport) Print(w io.Writer) {
+	c := r.Counts
+	fmt.Fprintf(w, "seed %d: %d requests, %d served, %d refused, %d failed, %d left, %d excused; %d bad clients, %d runs, %d restarts, %d troubles; %d violations\n",
+		r.Seed, c.Requests, c.Served, c.Refused, c.Failed, c.Left, c.Excused, c.BadClients, c.Runs, c.Restarts, c.Troubles, len(r.Violations))
+	if len(r.Violations) == 0 {
+		return
+	}
+	for _, line := range r.Timeline {
+		fmt.Fprintln(w, "  ", line)
+	}
+	for _, v := range r.Violations {
+		fmt.Fprintf(w, "  BROKEN %s: %s\n", v.Rule, v.Text)
+		for _, line := range v.Path {
+			fmt.Fprintln(w, "     ", line)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleetlab/soak_fleet.go
@@ -0,0 +1,372 @@
+package fleetlab
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"lynxspool/internal/faultnet"
+)
+
+// What gateways of a soak are told of requests.
+type soakClass struct {
+	name, effect string
+	deadline     time.Duration
+	window       time.Duration // of keyed requests
+	share        float64
+}
+
+var soakClasses = []soakClass{
+	{name: "look", effect: "idempotent", deadline: 1200 * time.Millisecond, share: 0.5},
+	{name: "book", effect: "at_most_once", deadline: 2 * time.Second, share: 0.3},
+	{name: "report", effect: "deduplicated", deadline: 1500 * time.Millisecond, window: 600 * time.Millisecond, share: 0.2},
+}
+
+// Figures of slow start, and of ends, that the soak's settings give.
+const (
+	soakColdFrom  = 0.2
+	soakWarm      = 8 * time.Second
+	soakOverload  = 2.5
+	soakFall      = time.Second
+	soakRateWarm  = 60 // requests a second that a warm server can do
+	soakGrace     = time.Second
+	soakKillAfter = 700 * time.Millisecond // ... beyond the longest deadline, counted as 3 s at the least here
+)
+
+// soakGateway is a gateway under its name, over all its processes.
+type soakGateway struct {
+	s                    *soak
+	name, addr, operator string
+	config, dir          string
+
+	mu    sync.Mutex
+	proc  *faultnet.Proc
+	life  int
+	began time.Time
+	ready time.Time // zero: not yet
+	term  time.Time // of this life
+	over  bool      // no process is to come
+	tune  int       // changes of its settings
+}
+
+func newSoakGateway(s *soak, i int) *soakGateway {
+	name := fmt.Sprintf("g%02d", i)
+	g := &soakGateway{s: s, name: name, addr: fmt.Sprintf("%s1.%d:9000", s.net, i+1), operator: fmt.Sprintf("%s1.%d:9001", s.net, i+1),
+		config: filepath.Join(s.dir, name+".json"), dir: filepath.Join(s.dir, name)}
+	os.MkdirAll(g.dir, 0o755)
+	return g
+}
+
+// configure writes the configuration file. A higher tune gives another deadline of one class
+// and another first address of discovery.
+func (g *soakGateway) configure(tune int) error {
+	type obj map[string]any
+	us := func(d time.Duration) int64 { return d.Microseconds() }
+	var classes []obj
+	for _, c := range soakClasses {
+		deadline := c.deadline
+		if c.name == "look" && tune%2 == 1 {
+			deadline += 200 * time.Millisecond
+		}
+		classes = append(classes, obj{"name": c.name, "effect": c.effect, "group": "all", "hard_limit": us(deadline),
+			"promise": us(deadline / 2), "importance": 1, "window": us(max(c.window, time.Second))})
+		if c.window > 0 {
+			classes[len(classes)-1]["window"] = us(c.window)
+		}
+	}
+	rank := int(g.name[1]-'0')*10 + int(g.name[2]-'0')
+	settings := obj{"balancers": g.s.opt.Gateways, "rank": rank, "step": 2000, "discovery": "subscribe", "azs": []string{}, "kinds": []string{},
+		"classes": classes, "tenants": []obj{}, "over_share_worth": 0.05,
+		"caps": obj{"cancel": true, "max_attempts": 4, "conn_idle": 10000000, "dial_timeout": 250000, "may_duplicate": false,
+			"max_retry_after": 2000000, "retry_after": true},
+		"obligations": obj{"ask_within": 10000000, "cold_from": soakColdFrom, "warm_after": us(soakWarm), "overload_factor": soakOverload,
+			"fall": us(soakFall), "drain_grace": us(soakGrace), "grace_to_answer": 58000}}
+	return writeJSON(g.config, obj{"name": g.name, "listen": g.addr, "operator": g.operator, "discovery": g.s.list.addrs(rank + tune),
+		"seed":   fmt.Sprintf("%x", g.s.opt.Seed*1_000_003+uint64(rank*100+g.life)+1),
+		"limits": obj{"cores": 1, "memory_mb": 192, "sockets": 512}, "known": obj{"version": 0, "full": true, "servers": []obj{}},
+		"settings": settings})
+}
+
+// startProcess starts a process under the name and asks for its health until it is ready.
+func (g *soakGateway) startProcess() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.proc != nil || g.over {
+		return nil
+	}
+	g.life++
+	if err := g.configure(g.tune); err != nil {
+		return err
+	}
+	proc, began, err := g.s.start.start(g.s.dir, fmt.Sprintf("%s.%d", g.name, g.life), filepath.Join(g.s.opt.Bin, "dunemoor"), nil,
+		"GW_CONFIG="+g.config, "GW_LOG=debug", "TMPDIR="+g.dir)
+	if err != nil {
+		return err
+	}
+	g.proc, g.began, g.ready, g.term = proc, began, time.Time{}, time.Time{}
+	go g.await(g.life)
+	return nil
+}
+
+func (g *soakGateway) await(life int) {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		resp, err := client.Get("http://" + g.addr + "/_health")
+		if err == nil {
+			resp.Body.Close()
+		}
+		g.mu.Lock()
+		if g.life != life || g.proc == nil {
+			g.mu.Unlock()
+			return
+		}
+		if err == nil && resp.StatusCode == http.StatusOK {
+			g.ready = time.Now()
+			g.mu.Unlock()
+			return
+		}
+		g.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (g *soakGateway) awaitReady(most time.Duration) bool {
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if up, _ := g.serving(); up {
+			return true
+		}
+	}
+	return false
+}
+
+// serving says whether the front sends clients here, and which life it is.
+func (g *soakGateway) serving() (bool, int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.proc != nil && !g.ready.IsZero() && g.term.IsZero(), g.life
+}
+
+// signal signals the process, if there is one.
+func (g *soakGateway) signal(sig syscall.Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.proc != nil {
+		g.proc.Signal(sig)
+	}
+}
+
+// reload changes the settings and signals that.
+func (g *soakGateway) reload() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	// Not in the first second, and not before it is ready.
+	if g.proc == nil || g.ready.IsZero() || time.Since(g.began) < 1100*time.Millisecond || !g.term.IsZero() {
+		return
+	}
+	g.tune++
+	if g.configure(g.tune) == nil {
+		g.proc.Signal(syscall.SIGHUP)
+	}
+}
+
+// kill ends the process outright.
+func (g *soakGateway) kill() { g.end(false) }
+
+// endInOrder ends the process by SIGTERM, and outright once it had its time.
+func (g *soakGateway) endInOrder() { g.end(true) }
+
+func (g *soakGateway) end(inOrder bool) {
+	g.mu.Lock()
+	proc, life := g.proc, g.life
+	if proc == nil || !g.term.IsZero() {
+		g.mu.Unlock()
+		return
+	}
+	d := death{gateway: g.name, life: life, log: proc.Log}
+	g.term = time.Now()
+	g.mu.Unlock()
+	if ended, err := proc.Exited(); ended {
+		d.ended, d.code = time.Now(), exitCode(err)
+	} else if !inOrder {
+		d.kill = time.Now()
+		proc.Kill()
+		d.ended = time.Now()
+	} else {
+		d.term = time.Now()
+		longest := 3 * time.Second
+		err := proc.Term(longest + soakKillAfter)
+		if d.ended = time.Now(); d.ended.Sub(d.term) >= longest+soakKillAfter {
+			d.kill = d.ended
+		} else {
+			d.code = exitCode(err)
+		}
+	}
+	g.s.ledger.note(func() { g.s.ledger.deaths = append(g.s.ledger.deaths, d) })
+	g.mu.Lock()
+	g.proc = nil
+	g.mu.Unlock()
+}
+
+func exitCode(err error) int {
+	if err == nil {
+		return 0
+	}
+	if e, ok := err.(interface{ ExitCode() int }); ok {
+		return e.ExitCode()
+	}
+	return -1
+}
+
+// Server states, as the list has them.
+const (
+	stateReady    = "ready"
+	stateDraining = "draining"
+)
+
+// soakList is the catalogs and the links that gateways reach them by.
+type soakList struct {
+	s     *soak
+	http  []string
+	links []*faultnet.Link
+	args  [][]string
+	mu    sync.Mutex
+	procs []*faultnet.Proc
+	known map[string]map[string]any // what is listed, by server
+}
+
+func startSoakList(s *soak) (*soakList, error) {
+	l := &soakList{s: s, known: map[string]map[string]any{}}
+	var peers []string
+	for i := range s.opt.Catalogs {
+		addr := fmt.Sprintf("%s199.%d:8500", s.net, i+1)
+		raft := fmt.Sprintf("%s199.%d:7500", s.net, i+1)
+		link, err := faultnet.NewLink(addr)
+		if err != nil {
+			return l, err
+		}
+		id := fmt.Sprintf("c%d", i+1)
+		l.http, l.links = append(l.http, addr), append(l.links, link)
+		l.args = append(l.args, []string{"-id", id, "-data", filepath.Join(s.dir, id), "-raft", raft, "-http", addr,
+			"-heartbeat", "200ms", "-stale-after", "1s"})
+		peers = append(peers, id+"="+raft+"/"+addr)
+	}
+	l.procs = make([]*faultnet.Proc, len(l.args))
+	for i := range l.args {
+		if len(l.args) > 1 {
+			l.args[i] = append(l.args[i], "-peers", strings.Join(peers, ","))
+		}
+		if err := l.startOne(i); err != nil {
+			return l, err
+		}
+	}
+	return l, nil
+}
+
+func (l *soakList) startOne(i int) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.procs[i] != nil {
+		return nil
+	}
+	proc, _, err := l.s.start.start(l.s.dir, fmt.Sprintf("c%d", i+1), filepath.Join(l.s.opt.Bin, "catalog"), l.args[i])
+	l.procs[i] = proc
+	return err
+}
+
+func (l *soakList) killOne(i int) {
+	l.mu.Lock()
+	proc := l.procs[i]
+	l.procs[i] = nil
+	l.mu.Unlock()
+	if proc != nil {
+		proc.Kill()
+	}
+}
+
+// addrs is GW_DISCOVERY, beginning with another instance for another first.
+func (l *soakList) addrs(first int) string {
+	var out []string
+	for i := range l.links {
+		out = append(out, l.links[(first+i)%len(l.links)].Addr)
+	}
+	return strings.Join(out, ",")
+}
+
+// put lists a server in a state, at whichever instance takes it.
+func (l *soakList) put(v *soakServer, state string) error {
+	entry := map[string]any{"addr": v.addr, "zone": "a", "state": state, "started_ms": 0}
+	v.mu.Lock()
+	if !v.started.IsZero() {
+		entry["started_ms"] = v.started.UnixMilli()
+	}
+	v.mu.Unlock()
+	l.mu.Lock()
+	l.known[v.name] = entry
+	l.mu.Unlock()
+	return l.write(v.name, entry)
+}
+
+func (l *soakList) write(id string, entry map[string]any) error {
+	text, err := jsonText(entry)
+	if err != nil {
+		return err
+	}
+	client := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	var last error
+	for try := range 150 {
+		r, err := http.NewRequestWithContext(l.s.ctx, http.MethodPut, "http://"+l.http[try%len(l.http)]+"/catalog/members/"+id, bytes.NewReader(text))
+		if err != nil {
+			return err
+		}
+		resp, err := client.Do(r)
+		if err == nil {
+			said, _ := io.ReadAll(io.LimitReader(resp.Body, 300))
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+			err = fmt.Errorf("%s: %s", resp.Status, said)
+		}
+		if last = err; l.s.ctx.Err() != nil {
+			return l.s.ctx.Err()
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return fmt.Errorf("server %s could not be listed: %w", id, last)
+}
+
+// countAnew ends all instances and starts them on empty folders, with the list as it was.
+func (l *soakList) countAnew() {
+	for i := range l.procs {
+		l.killOne(i)
+		os.RemoveAll(filepath.Join(l.s.dir, fmt.Sprintf("c%d", i+1)))
+	}
+	for i := range l.procs {
+		l.startOne(i)
+	}
+	l.mu.Lock()
+	entries := map[string]map[string]any{}
+	for id, e := range l.known {
+		entries[id] = e
+	}
+	l.mu.Unlock()
+	for id, e := range entries {
+		l.write(id, e)
+	}
+}
+
+func (l *soakList) close() {
+	for i := range l.procs {
+		l.killOne(i)
+	}
+	for _, link := range l.links {
+		link.Close()
+	}
+}
