Show watches that are resumed with nothing new and are not taken for open

By reading on: a catalog that counts anew answers a watch from a version that it has not come to with nothing at all, so that its list is not heard of until it has.

--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -230,3 +230,39 @@
 		}
 	}
 }
+
+// A watch that is resumed from the version in use, on which a blank line comes and no list, says
+// that the list is current: the module is told so, once, and sends by it.
+func TestBlankLineSaysThatTheListIsCurrent(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rc := http.NewResponseController(w)
+		for range 3 {
+			fmt.Fprintln(w)
+			rc.Flush()
+		}
+		<-r.Context().Done()
+	}))
+	cfg := testConfig()
+	cfg.Discovery, cfg.Settings.Ask = strings.TrimPrefix(server.URL, "http://"), true
+	cfg.Known = MemberList{Version: 41, Full: true, Servers: []Member{{ID: "s-0", Addr: "127.0.0.1:1", State: "ready"}}}
+	d := NewDiscovery(cfg)
+	told := make(lists, 8)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { d.Run(ctx, told); close(ended) }()
+	defer func() { cancel(); <-ended; server.Close() }()
+	d.Watch()
+	select {
+	case kind := <-told:
+		if kind != lynxspool.ListChanges {
+			t.Errorf("told of %v, want changes", kind)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the module is told of nothing")
+	}
+	select {
+	case kind := <-told:
+		t.Errorf("told again, of %v", kind)
+	case <-time.After(100 * time.Millisecond):
+	}
+}
