Begin a watch with a list, and take a blank line on a resumed one for a current list

Cause: the catalog sent no line where nothing had changed (serveWatch), and the gateway told the module of lists alone (watch), so that it asked again too. And a catalog that counts anew sent nothing for a version it had not come to (Since): a gateway would not hear of its list until it had. Change: a watch begins with a list, with no changes, or whole where the version is not come to within 0.25 s at a leader and 1.5 s at a follower (one behind must not offer an older list); a blank line first on a resumed watch tells the module no changes.

--- a/internal/catalog/server.go
+++ b/internal/catalog/server.go
@@ -115,13 +115,8 @@
 		}
 		return rc.Flush() == nil
 	}
-	if after == 0 {
-		line, version := n.store.Full()
-		if !send(line) {
-			return
-		}
-		after = version
-	} else if !send(nil) {
+	line, after := n.firstLine(r.Context(), after)
+	if !send(line) {
 		return
 	}
 	tick := time.NewTicker(keepAlive)
@@ -148,6 +143,42 @@
 	}
 }
 
+// How long a watch that resumes from a later version than there is here waits for that: a leader
+// may have entries to apply, and a follower is behind while a leader is elected.
+const (
+	leaderCatchUp   = 250 * time.Millisecond
+	followerCatchUp = 1500 * time.Millisecond
+)
+
+// firstLine is what a watch after a version begins with, and the version that it brings the
+// watcher to: the changes since, of which there may be none, or the whole list, also where that
+// version is not come to: another catalog has counted it.
+func (n *Node) firstLine(ctx context.Context, after uint64) ([]byte, uint64) {
+	catchUp := followerCatchUp
+	if n.raft.State() == raft.Leader {
+		catchUp = leaderCatchUp
+	}
+	late := time.NewTimer(catchUp)
+	defer late.Stop()
+	for after > 0 {
+		line, version, moved := n.store.Since(after)
+		if line != nil {
+			return line, version
+		}
+		if version == after {
+			return noChanges(version), version
+		}
+		select {
+		case <-moved:
+			continue
+		case <-ctx.Done():
+		case <-late.C:
+		}
+		break
+	}
+	return n.store.Full()
+}
+
 func (n *Node) serveWrite(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
 	if err := ValidID(id); err != nil {
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -281,6 +281,11 @@
 	return b.Bytes(), s.version, s.moved
 }
 
+// noChanges is one line of the protocol that says that nothing has changed since a version.
+func noChanges(version uint64) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"full":false,"servers":[]}`+"\n", version)
+}
+
 // Resumes says whether a watch after a version gets changes, not the whole list.
 func (s *Store) Resumes(after uint64) bool {
 	s.mu.Lock()
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -385,9 +386,14 @@
 	}
 	open = true
 	silence.Reset(d.silence)
-	in := &heedfulReader{from: resp.Body, heed: func() {
+	current := d.listed && index == d.version && index > 0 // else the list is still to come
+	in := &heedfulReader{from: resp.Body, heed: func(blank bool) {
 		silence.Reset(d.silence)
 		heard, d.heard = true, time.Now()
+		if blank && current { // nothing has changed since the version that we have
+			loop.Members(lynxspool.ListChanges, MemberList{Version: index})
+		}
+		current = false
 	}}
 	lists := json.NewDecoder(in) // not by lines: a list may be indented
 	for {
@@ -443,9 +449,9 @@
 // heedfulReader tells of every read that brings something, and ends what brings too much.
 type heedfulReader struct {
 	from  io.Reader
-	heed  func()
-	taken int   // bytes since a list was read whole
-	broke error // what ended the connection, if that was no end in order
+	heed  func(blank bool) // blank: there is nothing but white space
+	taken int              // bytes since a list was read whole
+	broke error            // what ended the connection, if that was no end in order
 }
 
 var errTooMuch = errors.New("too much")
@@ -453,7 +459,7 @@
 func (r *heedfulReader) Read(p []byte) (int, error) {
 	n, err := r.from.Read(p)
 	if n > 0 {
-		r.heed()
+		r.heed(len(bytes.TrimSpace(p[:n])) == 0)
 	}
 	if err != io.EOF {
 		r.broke = err
