Keep the order of writes to the list while the soak's catalogs count anew

The list was written again from a copy taken before the drain, so the catalogs had the server as ready. Writes and the new count now hold one lock.

--- a/internal/fleetlab/soak_fleet.go
+++ b/internal/fleetlab/soak_fleet.go
@@ -236,6 +236,7 @@
 	http  []string
 	links []*faultnet.Link
 	args  [][]string
+	order sync.Mutex // held from a change until it is written, and while the catalogs count anew
 	mu    sync.Mutex
 	procs []*faultnet.Proc
 	known map[string]map[string]any // what is listed, by server
@@ -301,6 +302,8 @@
 
 // put lists a server in a state, at whichever instance takes it.
 func (l *soakList) put(v *soakServer, state string) error {
+	l.order.Lock()
+	defer l.order.Unlock()
 	entry := map[string]any{"addr": v.addr, "zone": "a", "state": state, "started_ms": 0}
 	v.mu.Lock()
 	if !v.started.IsZero() {
@@ -344,6 +347,8 @@
 
 // countAnew ends all instances and starts them on empty folders, with the list as it was.
 func (l *soakList) countAnew() {
+	l.order.Lock()
+	defer l.order.Unlock()
 	for i := range l.procs {
 		l.killOne(i)
 		os.RemoveAll(filepath.Join(l.s.dir, fmt.Sprintf("c%d", i+1)))
