--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -79,6 +79,7 @@
 	signal.Notify(reloads, syscall.SIGHUP)
 
 	pool := gateway.NewPool(cfg)
+	injectInto := injectFaults(pool)
 	discovery := gateway.NewDiscovery(cfg)
 	loop, err := gateway.NewLoop(cfg, pool, discovery.Watch)
 	if err != nil {
@@ -88,6 +89,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	ln = injectInto(ln)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go pool.Run(ctx)
--- a/internal/fleetlab/real_test.go
+++ b/internal/fleetlab/real_test.go
@@ -25,6 +25,18 @@
 
 // playReal plays a scenario with real processes, built once without the race detector.
 func playReal(t *testing.T, s *Scenario) *Result {
+	t.Helper()
+	bin := realBinaries(t)
+	r, err := Real(t.Context(), s, RealOptions{Bin: bin, Dir: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("ready %+v, catalogs %+v, connections %+v, falls %+v, requests %+v", r.Ready, r.Catalogs, r.Conns, r.Falls, r.Requests)
+	return r
+}
+
+// realBinaries builds gateway and catalog once, without the race detector, and names their folder.
+func realBinaries(t *testing.T) string {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("starts a hundred processes")
@@ -38,12 +50,7 @@
 	if binaries.err != nil {
 		t.Fatal(binaries.err)
 	}
-	r, err := Real(t.Context(), s, RealOptions{Bin: binaries.dir, Dir: t.TempDir()})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Logf("ready %+v, catalogs %+v, connections %+v, falls %+v, requests %+v", r.Ready, r.Catalogs, r.Conns, r.Falls, r.Requests)
-	return r
+	return binaries.dir
 }
 
 // 100 real gateways and 20 hosts start cold in the same moment, under load from the first
--- a/internal/fleetlab/soak_fleet.go
+++ b/internal/fleetlab/soak_fleet.go
@@ -105,8 +105,12 @@
 	if err := g.configure(g.tune); err != nil {
 		return err
 	}
-	proc, began, err := g.s.start.start(g.s.dir, fmt.Sprintf("%s.%d", g.name, g.life), filepath.Join(g.s.opt.Bin, "dunemoor"), nil,
-		"GW_CONFIG="+g.config, "GW_LOG=debug", "TMPDIR="+g.dir)
+	bin, inject := filepath.Join(g.s.opt.Bin, "dunemoor"), ""
+	if faulty := filepath.Join(g.s.opt.Bin, FaultyGateway); g.name[2]%2 == 1 && isThere(faulty) {
+		bin, inject = faulty, fmt.Sprintf("%d %g", g.s.opt.Seed*100+uint64(g.life), soakFaultShare)
+	}
+	proc, began, err := g.s.start.start(g.s.dir, fmt.Sprintf("%s.%d", g.name, g.life), bin, nil,
+		"GW_CONFIG="+g.config, "GW_LOG=debug", "TMPDIR="+g.dir, "GW_INJECT="+inject)
 	if err != nil {
 		return err
 	}
@@ -115,6 +119,18 @@
 	return nil
 }
 
+// FaultyGateway is the gateway built with the tag faultinject. Every second gateway runs it, where
+// it is in the folder of the binaries.
+const FaultyGateway = "dunemoor-faults"
+
+// soakFaultShare is the share of its system calls that fail, in bouts.
+const soakFaultShare = 0.02
+
+func isThere(path string) bool {
+	_, err := os.Stat(path)
+	return err == nil
+}
+
 func (g *soakGateway) await(life int) {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for {
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -37,7 +37,7 @@
 // it is asked for. Here an attempt writes its request whole once at most.
 type Pool struct {
 	dialer  net.Dialer
-	dial    func(ctx context.Context, network, addr string) (net.Conn, error) // the dialer's, but in tests without sockets
+	dial    DialFunc // the dialer's, but in tests without sockets
 	maxIdle time.Duration
 	limit   int // connections at most, all hosts together
 	kept    *budget
@@ -100,6 +100,12 @@
 	return p
 }
 
+// DialFunc dials a server.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// WrapDial puts something round the dialling of servers, before the first attempt.
+func (p *Pool) WrapDial(wrap func(DialFunc) DialFunc) { p.dial = wrap(p.dial) }
+
 // Overlap says whether another process serves beside this one: the two have the
 // descriptors together. Clients share theirs out by coming to one or the other.
 func (p *Pool) Overlap(on bool) {
