Have an instance that is behind its leader refuse a resumed watch instead of holding it

Cause: a follower waited 1.5 s before it gave its list to a watch from a version that it had not come to. Change: all wait 0.25 s; then an instance without a leader that writes to it, or whose log has that version, answers 503, and others give their whole list.

--- a/internal/catalog/node.go
+++ b/internal/catalog/node.go
@@ -216,6 +216,16 @@
 	return ""
 }
 
+// led says whether this instance leads or has just heard from its leader, which writes to it
+// several times in each heartbeat.
+func (n *Node) led() bool {
+	if n.raft.State() == raft.Leader {
+		return true
+	}
+	leader, _ := n.raft.LeaderWithID() // none where a vote was given just now, which is a contact too
+	return leader != "" && time.Since(n.raft.LastContact()) < n.opt.Heartbeat/2
+}
+
 // leaderHTTP returns the HTTP address of the leader, or "" if none is known.
 func (n *Node) leaderHTTP() string {
 	_, id := n.raft.LeaderWithID()
--- a/internal/catalog/server.go
+++ b/internal/catalog/server.go
@@ -116,6 +116,10 @@
 		return rc.Flush() == nil
 	}
 	line, after := n.firstLine(r.Context(), after)
+	if line == nil {
+		refuse(w, "behind, without a leader", 0)
+		return
+	}
 	if !send(line) {
 		return
 	}
@@ -143,21 +147,15 @@
 	}
 }
 
-// How long a watch that resumes from a later version than there is here waits for that: a leader
-// may have entries to apply, and a follower is behind while a leader is elected.
-const (
-	leaderCatchUp   = 250 * time.Millisecond
-	followerCatchUp = 1500 * time.Millisecond
-)
+// catchUp is how long a watch that resumes from a later version than there is here waits for
+// that: this instance may have entries to apply.
+const catchUp = 250 * time.Millisecond
 
 // firstLine is what a watch after a version begins with, and the version that it brings the
 // watcher to: the changes since, of which there may be none, or the whole list, also where that
-// version is not come to: another catalog has counted it.
+// version is not come to: another catalog has counted it. nil: this instance is behind, as its
+// leader has gone.
 func (n *Node) firstLine(ctx context.Context, after uint64) ([]byte, uint64) {
-	catchUp := followerCatchUp
-	if n.raft.State() == raft.Leader {
-		catchUp = leaderCatchUp
-	}
 	late := time.NewTimer(catchUp)
 	defer late.Stop()
 	for after > 0 {
@@ -173,6 +171,9 @@
 			continue
 		case <-ctx.Done():
 		case <-late.C:
+			if !n.led() || n.raft.LastIndex() >= after {
+				return nil, 0 // it will come to that version, or cannot tell
+			}
 		}
 		break
 	}
