--- /dev/null
+++ b/cmd/catalog/stopped_test.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+)
+
+// A caller that stops in the middle of a write and stays is let go: each holds a descriptor, of
+// which watches need many.
+func TestCallerThatStopsWithinAWriteIsLetGo(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	c := testCluster(t, 1)
+	c.Leader()
+	conn, err := net.Dial("tcp", c.HTTP["c1"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "PUT /catalog/members/s-1 HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{\"addr\"")
+	conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error("it is held for 20 s at the least")
+	}
+}
