Give a caller of the catalog five seconds for a call, its body included

Symptom: a write whose body stops holds its connection for good. Cause: the server had a limit for the head alone (cmd/catalog/main.go). Watches are not cut: net/http lifts the limit once a request is read.

--- a/cmd/catalog/main.go
+++ b/cmd/catalog/main.go
@@ -39,6 +39,9 @@
 	}
 }
 
+// readTime is what a caller has for a call, its body included; a watch is no call any more.
+const readTime = 5 * time.Second
+
 // flushTime is what the last log lines have to get out.
 const flushTime = 100 * time.Millisecond
 
@@ -95,7 +98,7 @@
 		ln.Close()
 		return err
 	}
-	srv := &http.Server{Handler: node.Handler(), ReadHeaderTimeout: 5 * time.Second,
+	srv := &http.Server{Handler: node.Handler(), ReadHeaderTimeout: readTime, ReadTimeout: readTime,
 		IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10, ConnContext: catalog.ConnContext}
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(listener.Persist(ln, "callers")) }()
