--- a/internal/catalog/resume_test.go
+++ b/internal/catalog/resume_test.go
@@ -53,3 +53,41 @@
 		t.Errorf("from a version that is not come to: %+v, want the whole list", l)
 	}
 }
+
+// A catalog that was rebuilt on an empty folder counts on from beyond the old one, so that no
+// version of one passes for a version of the other: a watch that resumes gets the whole list.
+func TestRebuiltCatalogPassesForNoOther(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	write := func(c *loneCatalog, ids ...string) {
+		for _, id := range ids {
+			for end := time.Now().Add(30 * time.Second); c.put(id) != http.StatusOK; time.Sleep(10 * time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("%s is not taken", id)
+				}
+			}
+		}
+	}
+	old := openLone(t, t.TempDir(), addr)
+	write(old, "s-1", "s-2", "s-gone")
+	version := old.node.store.Version()
+	old.close()
+	rebuilt := openLone(t, t.TempDir(), addr)
+	defer func() { rebuilt.close() }()
+	write(rebuilt, "s-1", "s-2", "s-3", "s-4")
+	if l := rebuilt.firstLine(version); l.Version <= version || !l.Full || len(l.Servers) != 4 {
+		t.Errorf("from version %d of the old one on: %+v, want the whole list under a later version", version, l)
+	}
+	before := rebuilt.node.store.Version()
+	dir := rebuilt.node.opt.DataDir
+	rebuilt.close()
+	rebuilt = openLone(t, dir, addr)
+	write(rebuilt, "s-5")
+	if l := rebuilt.firstLine(before); l.Full || len(l.Servers) != 1 {
+		t.Errorf("after a restart, from version %d on: %+v, want the one change", before, l)
+	}
+}
