--- a/internal/catalog/node.go
+++ b/internal/catalog/node.go
@@ -236,6 +236,9 @@
 // Errors: ErrInvalid, ErrNotFound, raft.ErrNotLeader, raft.ErrLeadershipLost (the
 // entry may yet commit), or a time-out.
 func (n *Node) write(c command, timeout time.Duration) (uint64, error) {
+	if n.store.Base() == 0 {
+		c.Base = uint64(time.Now().UnixMilli()) // a rebuilt catalog begins beyond all that the old one counted
+	}
 	data, err := json.Marshal(c)
 	if err != nil {
 		return 0, err
--- a/internal/catalog/server.go
+++ b/internal/catalog/server.go
@@ -171,7 +171,7 @@
 			continue
 		case <-ctx.Done():
 		case <-late.C:
-			if !n.led() || n.raft.LastIndex() >= after {
+			if !n.led() || n.store.Base()+n.raft.LastIndex() >= after {
 				return nil, 0 // it will come to that version, or cannot tell
 			}
 		}
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -157,6 +157,7 @@
 	Op    string `json:"op"` // "put" or "del"
 	ID    string `json:"id"`
 	Patch Patch  `json:"patch,omitempty"`
+	Base  uint64 `json:"base,omitempty"` // of the versions, where the list has none yet
 }
 
 // change is one applied change, kept for watches; Line is the member encoded once.
@@ -170,7 +171,8 @@
 type Store struct {
 	mu      sync.Mutex
 	members map[string]Member
-	version uint64        // raft index of the entry that last changed the list
+	base    uint64        // added to raft's index, so that no other catalog has counted the same
+	version uint64        // base and raft index of the entry that last changed the list
 	ring    []change      // the last changes, oldest first
 	floor   uint64        // every change after floor is in ring
 	moved   chan struct{} // closed at the next change
@@ -217,15 +219,34 @@
 		return result{Version: s.version, Err: invalid("op %q", c.Op)}
 	}
 	line, _ := json.Marshal(m)
-	s.version = l.Index
-	s.ring = append(s.ring, change{Index: l.Index, ID: c.ID, Line: line})
+	s.count(c.Base, l.Index)
+	s.ring = append(s.ring, change{Index: s.version, ID: c.ID, Line: line})
 	if len(s.ring) > ringSize {
 		s.floor = s.ring[len(s.ring)-ringSize-1].Index
 		s.ring = append(s.ring[:0:0], s.ring[len(s.ring)-ringSize:]...)
 	}
 	close(s.moved)
 	s.moved, s.full = make(chan struct{}), nil
-	return result{Version: l.Index}
+	return result{Version: s.version}
+}
+
+// count takes the version of a change at a raft index; s.mu is held. The first change gives the
+// base: what was counted before it was counted by another catalog.
+func (s *Store) count(base, index uint64) {
+	if s.base == 0 {
+		s.base = base
+		if s.version == 0 {
+			s.floor = base + index - 1
+		}
+	}
+	s.version = s.base + index
+}
+
+// Base is what versions are counted from; 0: no change has given it yet.
+func (s *Store) Base() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.base
 }
 
 // ErrNotFound is the answer to a change of an entry that is not in the list.
@@ -321,7 +342,7 @@
 func (s *Store) Snapshot() (raft.FSMSnapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return snapshot{Version: s.version, Servers: s.sortedLocked()}, nil
+	return snapshot{Base: s.base, Version: s.version, Servers: s.sortedLocked()}, nil
 }
 
 // Restore replaces the list with a snapshot's; watches then get the whole list.
@@ -340,13 +361,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.members, s.version, s.floor, s.ring = members, snap.Version, snap.Version, nil
+	s.members, s.base, s.version, s.floor, s.ring = members, snap.Base, snap.Version, snap.Version, nil
 	close(s.moved)
 	s.moved, s.full = make(chan struct{}), nil
 	return nil
 }
 
 type snapshot struct {
+	Base    uint64   `json:"base,omitempty"`
 	Version uint64   `json:"version"`
 	Servers []Member `json:"servers"`
 }
