Draw the ports of test processes where nothing else takes one

Symptom: TestLeaderKilledUnderWatchesAndWrites failed once in 200 (write not acknowledged after 100 tries). Its log: c2 had ended at its start, "bind: address already in use", so one of three was left after the kill. Cause: FreeAddr drew ports of 127.0.0.1, where links listen and from where all dial. Change: it draws on an address of its own, none twice.

--- a/internal/faultnet/proc.go
+++ b/internal/faultnet/proc.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -25,14 +26,25 @@
 	return bins, nil
 }
 
-// FreeAddr returns a loopback address with a port that was free a moment ago.
+// freeIP is where FreeAddr draws ports: nobody dials from there and links listen elsewhere, so
+// that what was drawn stays free until its process listens.
+const freeIP = "127.0.0.88"
+
+var drawn sync.Map // addresses that FreeAddr has returned
+
+// FreeAddr returns a loopback address with a port that is free; it returns none twice.
 func FreeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for {
+		ln, err := net.Listen("tcp", freeIP+":0")
+		if err != nil {
+			return "", err
+		}
+		addr := ln.Addr().String()
+		ln.Close()
+		if _, twice := drawn.LoadOrStore(addr, true); !twice {
+			return addr, nil
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
 }
 
 // Proc is a running process of one of our binaries, its output in a file.
