--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -49,17 +50,25 @@
 }
 
 // closeFor closes a connection to make room, unless more has come in than was told.
-func closeFor(c net.Conn, why room) bool {
+func closeFor(c net.Conn, why room) (closed bool) {
 	framed, ok := c.(*framedConn)
 	switch {
 	case !ok || why == roomNone:
 		return false
 	case why == roomResting:
-		return framed.closeResting()
+		closed = framed.closeResting()
 	case why == roomWithoutHead:
-		return framed.closeWithoutHead()
+		closed = framed.closeWithoutHead()
+	default:
+		closed = framed.closeWithoutBody()
 	}
-	return framed.closeWithoutBody()
+	slog.Debug("client's connection to be closed", "peer", c.RemoteAddr(), "why", why.String(), "closed", closed)
+	return closed
+}
+
+// String says what a connection brings, for the log.
+func (r room) String() string {
+	return [...]string{"holds a request", "rests", "brings no head", "brings no body"}[r]
 }
 
 // bringsHead says whether a connection has brought a part of a head, for less than so long.
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -446,6 +446,7 @@
 // answer gives the Balancer's final answer.
 func (l *Loop) answer(id lynxspool.RequestID, a answer) {
 	if x := l.open[id]; x != nil {
+		slog.Debug("given up by the module", "id", x.requestID(), "refused", a.kind == refused, "attempts", len(x.attempts))
 		x.finish(a)
 		l.release(x)
 	}
