Share what the new tests and the soak wrote twice

Need: duplicates named a listener, the wait for a write, and traffic of test gateways. Change: serveAgain, mustPut, freeAddr, fleetTraffic serve both places.

--- a/internal/catalog/disk_test.go
+++ b/internal/catalog/disk_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +13,8 @@
 
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+
+	"lynxspool/internal/faultnet"
 )
 
 // failingDisk is a data folder whose next writes fail on cue: as a sync that fails behind
@@ -100,27 +101,39 @@
 	return resp.StatusCode
 }
 
-// A lone instance outlives a disk that fails some syncs or writes in a row, and takes writes
-// again by itself; all that it has acknowledged is there after that and after a restart, and
-// what failed leaves no entry of an older term behind one of a newer.
-func TestLoneInstanceOutlivesAFailingDisk(t *testing.T) {
+// mustPut writes hosts, each until it is taken.
+func (c *loneCatalog) mustPut(ids ...string) {
+	c.t.Helper()
 	const patience = 30 * time.Second
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	for _, id := range ids {
+		for end := time.Now().Add(patience); c.put(id) != http.StatusOK; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				c.t.Fatalf("%s is not taken", id)
+			}
+		}
+	}
+}
+
+// freeAddr is a loopback address that is free.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	addr, err := faultnet.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := ln.Addr().String()
-	ln.Close()
-	dir := t.TempDir()
+	return addr
+}
+
+// A lone instance outlives a disk that fails some syncs or writes in a row, and takes writes
+// again by itself; all that it has acknowledged is there after that and after a restart, and
+// what failed leaves no entry of an older term behind one of a newer.
+func TestLoneInstanceOutlivesAFailingDisk(t *testing.T) {
+	addr, dir := freeAddr(t), t.TempDir()
 	c := openLone(t, dir, addr)
 	acknowledged := map[string]bool{}
 	writeUntilTaken := func(id string) {
 		t.Helper()
-		for end := time.Now().Add(patience); c.put(id) != http.StatusOK; time.Sleep(10 * time.Millisecond) {
-			if time.Now().After(end) {
-				t.Fatalf("%s is not taken", id)
-			}
-		}
+		c.mustPut(id)
 		acknowledged[id] = true
 	}
 	writeUntilTaken("s-first")
--- a/internal/catalog/resume_test.go
+++ b/internal/catalog/resume_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -32,19 +31,9 @@
 // A watch begins with what changed after its version: nothing, where that is the last one, and
 // the whole list, where this catalog has not come to it: it was counted by another.
 func TestWatchBeginsWithAList(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := ln.Addr().String()
-	ln.Close()
-	c := openLone(t, t.TempDir(), addr)
+	c := openLone(t, t.TempDir(), freeAddr(t))
 	defer c.close()
-	for end := time.Now().Add(30 * time.Second); c.put("s-1") != http.StatusOK; time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("no write is taken")
-		}
-	}
+	c.mustPut("s-1")
 	version := c.node.store.Version()
 	if l := c.firstLine(version); l.Version != version || l.Full || len(l.Servers) != 0 {
 		t.Errorf("from the last version on: %+v, want no changes", l)
@@ -57,28 +46,14 @@
 // A catalog that was rebuilt on an empty folder counts on from beyond the old one, so that no
 // version of one passes for a version of the other: a watch that resumes gets the whole list.
 func TestRebuiltCatalogPassesForNoOther(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := ln.Addr().String()
-	ln.Close()
-	write := func(c *loneCatalog, ids ...string) {
-		for _, id := range ids {
-			for end := time.Now().Add(30 * time.Second); c.put(id) != http.StatusOK; time.Sleep(10 * time.Millisecond) {
-				if time.Now().After(end) {
-					t.Fatalf("%s is not taken", id)
-				}
-			}
-		}
-	}
+	addr := freeAddr(t)
 	old := openLone(t, t.TempDir(), addr)
-	write(old, "s-1", "s-2", "s-gone")
+	old.mustPut("s-1", "s-2", "s-gone")
 	version := old.node.store.Version()
 	old.close()
 	rebuilt := openLone(t, t.TempDir(), addr)
 	defer func() { rebuilt.close() }()
-	write(rebuilt, "s-1", "s-2", "s-3", "s-4")
+	rebuilt.mustPut("s-1", "s-2", "s-3", "s-4")
 	if l := rebuilt.firstLine(version); l.Version <= version || !l.Full || len(l.Servers) != 4 {
 		t.Errorf("from version %d of the old one on: %+v, want the whole list under a later version", version, l)
 	}
@@ -86,7 +61,7 @@
 	dir := rebuilt.node.opt.DataDir
 	rebuilt.close()
 	rebuilt = openLone(t, dir, addr)
-	write(rebuilt, "s-5")
+	rebuilt.mustPut("s-5")
 	if l := rebuilt.firstLine(before); l.Full || len(l.Servers) != 1 {
 		t.Errorf("after a restart, from version %d on: %+v, want the one change", before, l)
 	}
--- a/internal/fleetlab/soak_server.go
+++ b/internal/fleetlab/soak_server.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -10,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -47,25 +45,13 @@
 }
 
 func (v *soakServer) listen() error {
-	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1) })
-	}}
-	ln, err := lc.Listen(context.Background(), "tcp", v.addr)
+	ln, err := serveAgain(v.addr, v.serve)
 	if err != nil {
 		return fmt.Errorf("server %s: %w", v.name, err)
 	}
 	v.mu.Lock()
 	v.ln = ln
 	v.mu.Unlock()
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go v.serve(c)
-		}
-	}()
 	return nil
 }
 
--- a/internal/fleetlab/standin.go
+++ b/internal/fleetlab/standin.go
@@ -35,26 +35,35 @@
 
 // listen begins to accept. A machine that is back may find its port held for a moment.
 func (s *standIn) listen() error {
-	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1) })
-	}}
-	ln, err := lc.Listen(context.Background(), "tcp", s.addr)
+	ln, err := serveAgain(s.addr, s.serve)
 	if err != nil {
 		return fmt.Errorf("host %s: %w", s.h.ID, err)
 	}
 	s.mu.Lock()
 	s.ln = ln
 	s.mu.Unlock()
+	return nil
+}
+
+// serveAgain serves the connections that come to an address, which may have been served just now.
+func serveAgain(addr string, serve func(net.Conn)) (net.Listener, error) {
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1) })
+	}}
+	ln, err := lc.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
 	go func() {
 		for {
 			c, err := ln.Accept()
 			if err != nil {
 				return
 			}
-			go s.serve(c)
+			go serve(c)
 		}
 	}()
-	return nil
+	return ln, nil
 }
 
 // do lets a change be made to the model; down resets all connections and refuses new ones,
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -563,18 +563,7 @@
 	discos := []*bubbleDiscovery{disco}
 	defer func() { settle(cancel, discos...) }()
 	stop := make(chan struct{})
-	go func() {
-		tick := time.NewTicker(25 * time.Millisecond)
-		defer tick.Stop()
-		for i := 0; ; i++ {
-			select {
-			case <-stop:
-				return
-			case <-tick.C:
-				g.send(i)
-			}
-		}
-	}()
+	fleetTraffic([]*bubbleGateway{g}, stop)
 	defer close(stop)
 	time.Sleep(5 * time.Second)
 	began := time.Now()
