Give each soak loopback addresses of its own

Symptom: one of three soaks at a time did not start, "address already in use": two had process ids alike modulo 128. Change: a run takes the first prefix on which it can hold an address.

--- a/internal/fleetlab/soak.go
+++ b/internal/fleetlab/soak.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -88,7 +89,12 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &soak{opt: opt, dir: dir, ctx: ctx, net: fmt.Sprintf("127.%d.", 64+os.Getpid()%128),
+	addresses, reserved, err := reserveNet()
+	if err != nil {
+		return nil, err
+	}
+	defer reserved.Close()
+	s := &soak{opt: opt, dir: dir, ctx: ctx, net: addresses,
 		rng: rand.New(rand.NewPCG(opt.Seed, 1)), start: newStarter(), ledger: newLedger()}
 	defer s.start.end()
 	defer s.close()
@@ -103,6 +109,18 @@
 	return s.report(plan), nil
 }
 
+// reserveNet finds loopback addresses that no other run has, and holds one as long as they are used.
+func reserveNet() (prefix string, held net.Listener, err error) {
+	const first, count = 64, 128 // of the second byte
+	for i := range count {
+		prefix = fmt.Sprintf("127.%d.", first+(os.Getpid()+i)%count)
+		if held, err = net.Listen("tcp", prefix+"254.254:9000"); err == nil {
+			return prefix, held, nil
+		}
+	}
+	return "", nil, fmt.Errorf("no loopback addresses are free: %w", err)
+}
+
 // now is the time since the load began.
 func (s *soak) now() time.Duration { return time.Since(s.zero) }
 
