--- a/internal/gateway/flood_test.go
+++ b/internal/gateway/flood_test.go
@@ -1,7 +1,11 @@
 package gateway
 
 import (
+	"net"
+	"net/http"
+	"strconv"
 	"testing"
+	"time"
 )
 
 // Peers that connect in great number and say nothing, or never finish a head or a body, get
@@ -38,3 +42,37 @@
 		})
 	}
 }
+
+// A request that waits to be accepted, as peers that say nothing hold all places for a while, has
+// less time left than it says; its server is told no more than that, with the slack of the rule.
+func TestServerIsToldWhatIsLeftAfterAFlood(t *testing.T) {
+	const timeout, slack = 5 * time.Second, 150 * time.Millisecond
+	type arrival struct {
+		at   time.Time
+		told time.Duration
+	}
+	arrived := make(chan arrival, 1)
+	host := newHost(t, func(c net.Conn, r *http.Request, n int) bool {
+		seconds, _ := strconv.ParseFloat(r.Header.Get(headTimeout), 64)
+		arrived <- arrival{time.Now(), time.Duration(seconds * float64(time.Second))}
+		return says(good)(c, r, n)
+	})
+	cfg := testConfig(host)
+	cfg.Sockets = 64
+	g := startGateway(t, cfg)
+	places := cfg.Sockets * mostSockets / 100
+	for range places {
+		g.open("")
+	}
+	until(t, "all places are held", func() bool { return len(g.server.slots) == places })
+	sent := time.Now()
+	g.open("POST /api/1 HTTP/1.1\r\nHost: x\r\nX-Request-ID: i\r\nX-Priority-Class: book\r\nX-Timeout: 5\r\nContent-Length: 0\r\n\r\n")
+	select {
+	case a := <-arrived:
+		if left := timeout - a.at.Sub(sent); a.told > left+slack {
+			t.Errorf("the server is told %v where %v are left", a.told, left)
+		}
+	case <-time.After(patience):
+		t.Fatal("the request does not come to the server")
+	}
+}
