--- a/internal/fleetlab/soak_test.go
+++ b/internal/fleetlab/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"maps"
 	"net/http"
 	"os"
@@ -23,21 +24,23 @@
 	}
 	defer os.Remove(faulty)
 	for _, seed := range []uint64{3, 4} {
-		opt := SoakDefaults()
-		opt.Bin, opt.Dir, opt.Seed = bin, t.TempDir(), seed
-		opt.Length, opt.Gateways, opt.Servers, opt.Rate, opt.Overlap = 15*time.Second, 6, 6, 60, 2
-		r, err := Soak(t.Context(), opt)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if r.Counts.Served == 0 || r.Counts.Troubles == 0 {
-			t.Errorf("the soak has exercised nothing: %+v", r.Counts)
-		}
-		if len(r.Violations) > 0 {
-			var text strings.Builder
-			r.Print(&text)
-			t.Error(text.String())
-		}
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			opt := SoakDefaults()
+			opt.Bin, opt.Dir, opt.Seed = bin, t.TempDir(), seed
+			opt.Length, opt.Gateways, opt.Servers, opt.Rate, opt.Overlap = 15*time.Second, 6, 6, 60, 2
+			r, err := Soak(t.Context(), opt)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r.Counts.Served == 0 || r.Counts.Troubles == 0 {
+				t.Errorf("the soak has exercised nothing: %+v", r.Counts)
+			}
+			if len(r.Violations) > 0 {
+				var text strings.Builder
+				r.Print(&text)
+				t.Error(text.String())
+			}
+		})
 	}
 }
 
