--- a/cmd/dunemoor/main_test.go
+++ b/cmd/dunemoor/main_test.go
@@ -39,10 +39,28 @@
 	*exec.Cmd
 	url    string
 	config string // path of its configuration
-	out    bytes.Buffer
+	out    output
 	exited chan struct{}
 }
 
+// output is what a program has written so far.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
 // start runs the program with a configuration.
 func start(t *testing.T, config, listen string) *program {
 	t.Helper()
--- a/internal/gateway/arrival_test.go
+++ b/internal/gateway/arrival_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -365,3 +366,38 @@
 		}
 	}
 }
+
+// lateConn is a connection whose reader is late: the process is held up.
+type lateConn struct {
+	*net.TCPConn
+	late time.Duration
+}
+
+func (c lateConn) Read(p []byte) (int, error) {
+	time.Sleep(c.late)
+	return c.TCPConn.Read(p)
+}
+
+// An answer waits unread for half a second. What its server is charged with is the time that the
+// answer took to come, not the time that it waited here.
+func TestAnswerThatWaitsUnreadIsChargedWhenItCame(t *testing.T) {
+	const late = 500 * time.Millisecond
+	for name, answer := range map[string]string{"served": good, "an error": errored} {
+		server := newHost(t, says(answer))
+		p := newTestPool()
+		p.WrapDial(func(dial DialFunc) DialFunc {
+			return func(ctx context.Context, network, addr string) (net.Conn, error) {
+				c, err := dial(ctx, network, addr)
+				if err != nil {
+					return nil, err
+				}
+				return lateConn{c.(*net.TCPConn), late}, nil
+			}
+		})
+		try := newTry()
+		p.attempt(t.Context(), pooled(p, server.addr()), newExchange("b"), try)
+		if try.took == 0 || try.took > late/2 {
+			t.Errorf("%s: the server is charged with %v (0: the whole attempt), its answer came at once and waited for %v", name, try.took, late)
+		}
+	}
+}
