Read the lines that wait on a watch before taking it for silent

After a hold-up of 4 s a gateway opened its watch anew though discovery had written a line every 200 ms; a fleet on starved machines calls its discovery all at once so, which serves its calls in turn.

Cause: the timer for silence (Discovery.watch) rang when the process ran again, before the lines in the socket were read. Ruled out: the connection (it is the same, open) and discovery (it wrote all the time).

It holds because a watch is silent only if nothing has come; who reads it does so at once when the process runs.

--- a/cmd/dunemoor/heldup_test.go
+++ b/cmd/dunemoor/heldup_test.go
@@ -41,7 +41,8 @@
 
 // A process is held up while its watch brings a drain and its clients go on asking. What is notified
 // counts from when discovery wrote it: once the process runs again, 1.5 s after that, nothing new may
-// go to the server that drains.
+// go to the server that drains. One request of 60 went there in 4 of 6 rounds: sockets become ready in
+// the order in which bytes came, and the first requests had come ahead of the drain.
 func TestDrainThatWaitsUnreadHoldsSends(t *testing.T) {
 	const clients = 60
 	for round := range 3 {
@@ -139,7 +140,8 @@
 
 // A process is held up for longer than a watch may be silent, while its watch goes on. The lines that
 // wait are read before the watch is judged: it is not opened anew, or a fleet on starved machines
-// would call its discovery all at once.
+// would call its discovery all at once. It was opened anew (log: "watch of the host list lost ... discovery
+// is silent"): the timer for silence rang with the lines in the socket.
 func TestWatchThatWaitsUnreadIsNotSilent(t *testing.T) {
 	const stopped = 4 * time.Second
 	var calls atomic.Int64
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -101,6 +101,7 @@
 	at     int                     // the one in use
 	fresh  bool                    // addrs have not been watched yet
 	cancel context.CancelCauseFunc // ends the present watch; nil without one
+	conn   *watchConn              // of the present call
 }
 
 // Lister takes what discovery tells; the Loop is one.
@@ -130,14 +131,40 @@
 
 // NewDiscovery returns a Discovery that starts from the known list.
 func NewDiscovery(cfg *Config) *Discovery {
-	return &Discovery{
+	d := &Discovery{
 		addrs: splitAddrs(cfg.Discovery), moved: make(chan struct{}, 1), heard: time.Now(),
 		ask: cfg.Settings.Ask, asked: make(chan struct{}, 1), version: cfg.Known.Version,
 		silence: lynxspool.SilentAfter, turn: turnUsual, answer: callSilence, listed: len(cfg.Known.Servers) > 0, within: cfg.Settings.AskWithin,
-		client: http.Client{Transport: &http.Transport{
-			DialContext: (&net.Dialer{Timeout: watchDial}).DialContext, DisableKeepAlives: true,
-		}},
 	}
+	d.client = http.Client{Transport: &http.Transport{DialContext: d.dial, DisableKeepAlives: true}}
+	return d
+}
+
+// dial makes the connection of a call.
+func (d *Discovery) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := (&net.Dialer{Timeout: watchDial}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	watch := newWatchConn(c)
+	d.mu.Lock()
+	d.conn = watch
+	d.mu.Unlock()
+	return watch, nil
+}
+
+// watched is the connection of the present call, or of the last; nil before the first.
+func (d *Discovery) watched() *watchConn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.conn
+}
+
+// Overdue says whether discovery has written something that should have been heeded by now: the
+// process was held up, and changes count from when they were written.
+func (d *Discovery) Overdue() bool {
+	c := d.watched()
+	return c != nil && c.overdue()
 }
 
 // Watch asks for changes from now on, where they do not come by themselves.
@@ -322,6 +349,22 @@
 	return min(asked+time.Duration(jitter/4*float64(asked)), most)
 }
 
+// whenSilent calls end after a time, unless the timer is reset before. What waits unread then is read
+// first: the process was held up, not discovery.
+func (d *Discovery) whenSilent(after time.Duration, end func()) (silence *time.Timer) {
+	set := make(chan struct{})
+	silence = time.AfterFunc(after, func() {
+		<-set
+		if c := d.watched(); c != nil && c.hasUnread() {
+			silence.Reset(readFirst)
+			return
+		}
+		end()
+	})
+	close(set)
+	return silence
+}
+
 // jitter draws a wait from half of d to twice d: gateways that lost discovery together must
 // not come back to it together.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(3*d/2) }
@@ -338,7 +381,7 @@
 		d.turn = turnUrgent
 		loop.Members(lynxspool.ListMoved, MemberList{})
 	}
-	silence := time.AfterFunc(d.answerIn(), func() { cancel(errSilent) })
+	silence := d.whenSilent(d.answerIn(), func() { cancel(errSilent) })
 	defer silence.Stop()
 	open := false // discovery has answered the call
 	defer func() {
--- /dev/null
+++ b/internal/gateway/watchconn.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+)
+
+// watchConn is a connection to discovery that knows whether what came on it has been heeded. Its
+// reader asks for more only once all whole lists have gone to the loop.
+type watchConn struct {
+	net.Conn
+	raw syscall.RawConn // of Conn; nil where there is none, as in tests without sockets
+
+	mu     sync.Mutex
+	reads  bool // what was read last had waited for long, and more has not been asked for
+	closed bool
+}
+
+func newWatchConn(c net.Conn) *watchConn { return &watchConn{Conn: c, raw: rawConn(c)} }
+
+// Read reads, and looks how long what it reads has waited in one step under c.mu.
+func (c *watchConn) Read(p []byte) (int, error) {
+	if c.raw == nil {
+		return c.Conn.Read(p)
+	}
+	n, err := readWhenReady(c.raw, func(fd int) (int, bool, error) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		waited := waitedLong(fd)
+		n, err := retryInterrupted(func() (int, error) { return syscall.Read(fd, p) })
+		if err == syscall.EAGAIN {
+			c.reads = false
+			return 0, false, nil
+		}
+		c.reads = n > 0 && (c.reads || waited)
+		return n, true, err
+	})
+	var call syscall.Errno
+	switch {
+	case errors.As(err, &call):
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: call}
+	case err != nil:
+		return 0, err
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// Close ends the connection; what it brought and nobody read is lost, so nothing waits for it.
+func (c *watchConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// overdue says whether something has come long ago that has not been heeded yet.
+func (c *watchConn) overdue() (overdue bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.raw == nil || c.closed {
+		return false
+	}
+	c.raw.Control(func(fd uintptr) { overdue = c.reads || waitedLong(int(fd)) }) // an error is that of a closed connection
+	return overdue
+}
+
+// hasUnread says whether something has come that nobody has read.
+func (c *watchConn) hasUnread() (unread bool) {
+	if c.raw == nil {
+		return false
+	}
+	c.raw.Control(func(fd uintptr) { // an error is that of a closed connection
+		n, ok := unreadBytes(int(fd))
+		unread = ok && n > 0
+	})
+	return unread
+}
+
+// waitedLong says whether what waits to be read came longer ago than a process takes that is not
+// held up.
+func waitedLong(fd int) bool {
+	if n, ok := unreadBytes(fd); !ok || n == 0 {
+		return false
+	}
+	age, ok := dataAge(fd)
+	return ok && age >= heldUpLeast
+}
