Heed what discovery wrote during a hold-up before anything is sent

After a hold-up of 1.5 s a request went to a server that had been notified as draining 1.5 s before; the grace is 1 s.

Cause: the process reads its sockets in the order in which they became ready, so requests that came ahead of the drain were sent before the watch was read (Pool.attempt, permit looks at the list as the loop has it). Ruled out: the loop's order (the change had not been posted yet) and idle connections.

Change: an attempt looks at the watch's socket just before its first byte; if something has waited there for 0.1 s by the kernel's word, or has been read and not handed on yet, it waits for that (0.1 s at most) and looks at the server again. It holds because look and read are one step under a lock, and what was handed on is in force once the loop has handled what was posted. Without a hold-up it costs one system call an attempt.

--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -85,6 +85,7 @@
 	if err != nil {
 		return err
 	}
+	pool.Await(discovery, loop.Sync)
 	ln, err := listen(cfg)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -593,7 +593,7 @@
 		t.Errorf("status %d for a class yet to come", resp.StatusCode)
 	}
 	g.loop.Retune(&next)
-	g.loop.sync()
+	g.loop.Sync()
 	if resp, _ := g.ask("book", "/api/1", "b"); resp.StatusCode != 400 {
 		t.Errorf("status %d for a class that is gone", resp.StatusCode)
 	}
@@ -637,7 +637,7 @@
 func TestListedOnceDiscoveryHasSpoken(t *testing.T) {
 	g := startGateway(t, testConfig(newHost(t, says(good))))
 	heard := func() bool {
-		g.loop.sync()
+		g.loop.Sync()
 		select {
 		case <-g.loop.Listed():
 			return true
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -215,8 +215,8 @@
 // be old.
 func (l *Loop) Listed() <-chan struct{} { return l.listed }
 
-// sync waits until all events posted before it are handled.
-func (l *Loop) sync() {
+// Sync waits until all events posted before it are handled.
+func (l *Loop) Sync() {
 	handled := make(chan struct{})
 	l.post(func(lynxspool.Time) { close(handled) })
 	select {
--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -147,7 +147,7 @@
 			return
 		}
 		// The events of the loop are handled in order: once this one is, so is the ban.
-		o.loop.sync()
+		o.loop.Sync()
 		time.Sleep(o.settle)
 		slog.Info("maintenance of a host", "host", id, "call", verb)
 		io.WriteString(w, "ok\n")
--- a/internal/gateway/operator_test.go
+++ b/internal/gateway/operator_test.go
@@ -61,7 +61,7 @@
 
 func TestOperatorsCalls(t *testing.T) {
 	g := startGateway(t, testConfig(newHost(t, says(good)), newHost(t, says(good))))
-	g.loop.sync()
+	g.loop.Sync()
 	addr := g.operate(t.TempDir(), false)
 	for _, tt := range []struct {
 		text string
@@ -102,7 +102,7 @@
 // Callers who send nothing, or half a call, delay nobody and act on nothing.
 func TestSilentOperatorsDelayNobody(t *testing.T) {
 	g := startGateway(t, testConfig(newHost(t, says(good))))
-	g.loop.sync()
+	g.loop.Sync()
 	bans, _ := NewBans("")
 	o := NewOperator(g.loop, g.server, bans, false)
 	o.http.ReadTimeout = time.Hour // they stay, so an answer has not waited for them
@@ -121,7 +121,7 @@
 	if status, _ := call(t, addr, line("GET", "/healthcheck")); status != 200 {
 		t.Errorf("status %d", status)
 	}
-	g.loop.sync()
+	g.loop.Sync()
 	if g.loop.hosts[hostID("s-0")].banned {
 		t.Error("half a call has been carried out")
 	}
@@ -133,7 +133,7 @@
 	hosts := []*testHost{newHost(t, says(good)), newHost(t, says(good))}
 	cfg := testConfig(hosts...)
 	g := startGateway(t, cfg)
-	g.loop.sync()
+	g.loop.Sync()
 	addr := g.operate(t.TempDir(), false)
 	// An attempt that has chosen its host, but has no connection yet.
 	h := g.loop.hosts[hostID("s-0")]
@@ -179,7 +179,7 @@
 		if err := bans.Look(g.loop); err != nil {
 			t.Fatal(err)
 		}
-		g.loop.sync()
+		g.loop.Sync()
 		ctx, cancel := context.WithCancel(context.Background())
 		t.Cleanup(cancel)
 		go bans.Watch(g.loop, ctx.Done())
@@ -221,13 +221,13 @@
 	}
 	want(503, "no host is known")
 	g.loop.Members(lynxspool.ListFull, MemberList{Servers: []Member{{ID: "s-0", Addr: "127.0.0.1:1", State: "ready"}}})
-	g.loop.sync()
+	g.loop.Sync()
 	want(200, "a host is known")
 	g.loop.maintain("s-0", true)
-	g.loop.sync()
+	g.loop.Sync()
 	want(503, "the only host is out")
 	g.loop.maintain("s-0", false)
-	g.loop.sync()
+	g.loop.Sync()
 	g.server.accepting.Store(false)
 	want(503, "it does not accept")
 	g.server.accepting.Store(true)
