--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,7 +60,7 @@
 		}
 	}
 	if serve == nil {
-		return nil, errors.New("refused")
+		return nil, fmt.Errorf("dial %s: %w", addr, syscall.ECONNREFUSED)
 	}
 	ours, theirs := net.Pipe()
 	go serve(theirs)
@@ -702,3 +702,36 @@
 		}
 	})
 }
+
+// Discovery is away, comes back for less than a second, and is away again for long. What it had at its
+// return counts as notified 6 s later, so every gateway of a small fleet has to hear of it within
+// that second: nobody at an address is no discovery that calls could crowd.
+func TestShortReturnOfDiscoveryIsHeard(t *testing.T) {
+	const fleet, returns = 6, 700 * time.Millisecond
+	for away := 4 * time.Second; away < 12*time.Second; away += 430 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			n := newBubbleNet()
+			servers := bubbleHosts(n, 3)
+			disco := newBubbleDiscovery(n, "discovery:80", servers)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer settle(cancel, disco)
+			var gateways []*bubbleGateway
+			for rank := range fleet {
+				gateways = append(gateways, startBubble(t, ctx, n, bubbleConfig(true, fleet, rank, disco.addr, servers)))
+			}
+			time.Sleep(10 * time.Second)
+			disco.down()
+			disco.drain("s-0")
+			time.Sleep(away)
+			disco.up()
+			time.Sleep(returns)
+			disco.down()
+			time.Sleep(lynxspool.ToldAfter - returns)
+			for rank, g := range gateways {
+				if g.usable("s-0") {
+					t.Errorf("away for %v: gateway %d has not heard of a drain 6 s after the return", away, rank)
+				}
+			}
+		})
+	}
+}
