Hold sends until what waited on the watch is in force, not just read

TestDrainThatWaitsUnreadHoldsSends, run fifty times beside load, still failed: requests went to a server that drained. Traced by id (i109, i79 of 300): their attempts looked at the watch after its line had been read and handed to the loop, and before the loop had come to it; the first look found nothing overdue, so nobody waited. The watch now counts what it read late as overdue until the loop has put it in force, and there is no bound on the wait but the attempt's own end.

The test itself was wrong in one point: SIGSTOP returns before the process has stopped, so a request could be read and sent before the drain was written, which is allowed.

The soak plays hand-over now: every sixth gateway's processes share a listening socket, are upgraded, also twice in a row and among new settings, while clients press on what is open.

--- a/cmd/dunemoor/arrival_test.go
+++ b/cmd/dunemoor/arrival_test.go
@@ -51,7 +51,7 @@
 				c = dial()
 				time.Sleep(100 * time.Millisecond) // it is accepted
 			}
-			p.Process.Signal(syscall.SIGSTOP)
+			p.stop(t)
 			if !resting {
 				c = dial()
 			}
--- a/cmd/dunemoor/heldup_test.go
+++ b/cmd/dunemoor/heldup_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,22 @@
 // heldUp is how long tests stop a process: longer than any slack, as a starved machine may.
 const heldUp = 1500 * time.Millisecond
 
+// stop holds the process up, and returns once it has stopped: what is sent then waits unread.
+func (p *program) stop(t *testing.T) {
+	t.Helper()
+	p.Process.Signal(syscall.SIGSTOP)
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Process.Pid))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, state, _ := strings.Cut(string(stat), ") "); strings.HasPrefix(state, "T") {
+			return
+		}
+	}
+	t.Fatal("the process does not stop")
+}
+
 // restingClients opens connections to the program and waits until it has them all.
 func restingClients(t *testing.T, p *program, n int) (conns []net.Conn) {
 	t.Helper()
@@ -44,7 +61,7 @@
 // go to the server that drains. One request of 60 went there in 4 of 6 rounds: sockets become ready in
 // the order in which bytes came, and the first requests had come ahead of the drain.
 func TestDrainThatWaitsUnreadHoldsSends(t *testing.T) {
-	const clients = 60
+	const clients = 300
 	for round := range 3 {
 		t.Run(fmt.Sprint("round_", round), func(t *testing.T) {
 			asked, addrs := twoHosts(t)
@@ -56,7 +73,7 @@
 			disco.lines <- fmt.Sprintf(list, 2, addrs[0], "ready", addrs[1])
 			p.serve(t, 20)
 			conns := restingClients(t, p, clients)
-			p.Process.Signal(syscall.SIGSTOP)
+			p.stop(t)
 			before := asked[0].Load()
 			for i, c := range conns {
 				fmt.Fprintf(c, "POST /api/1 HTTP/1.1\r\nHost: x\r\nX-Request-ID: i%d\r\nX-Priority-Class: book\r\nContent-Length: 0\r\n\r\n", i)
@@ -110,8 +127,7 @@
 			t.Fatalf("%d of %d requests are with a server\n%s", out.Load(), clients, p.out.String())
 		}
 	}
-	p.Process.Signal(syscall.SIGSTOP)
-	time.Sleep(20 * time.Millisecond) // it has stopped
+	p.stop(t)
 	once.Do(func() { close(stopped) })
 	time.Sleep(heldUp)
 	p.Process.Signal(syscall.SIGCONT)
@@ -168,7 +184,7 @@
 	p.ready(t)
 	p.serve(t, 1)
 	before := calls.Load()
-	p.Process.Signal(syscall.SIGSTOP)
+	p.stop(t)
 	time.Sleep(stopped)
 	p.Process.Signal(syscall.SIGCONT)
 	p.serve(t, 1)
@@ -202,7 +218,7 @@
 		conns = append(conns, c)
 	}
 	time.Sleep(200 * time.Millisecond) // they are accepted, and what has come is read
-	p.Process.Signal(syscall.SIGSTOP)
+	p.stop(t)
 	time.Sleep(comesAfter)
 	for i, c := range conns {
 		io.WriteString(c, request[len(parts[i]):])
--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -85,7 +85,8 @@
 	if err != nil {
 		return err
 	}
-	pool.Await(discovery, loop.Sync)
+	pool.Await(discovery)
+	discovery.SetInForce(loop.Sync)
 	ln, err := listen(cfg)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
--- a/internal/faultnet/proc.go
+++ b/internal/faultnet/proc.go
@@ -59,17 +59,22 @@
 // Start runs bin with args; env is added to this process's environment. Its output
 // goes to dir/name.log.
 func Start(dir, name, bin string, args []string, env ...string) (*Proc, error) {
-	return start(dir, name, bin, args, nil, env)
+	return start(dir, name, bin, args, nil, nil, env)
 }
 
 // StartTied is Start for a process that the kernel kills when the calling thread ends. The
 // caller has locked its goroutine to a thread that lives as long as the process should: so
 // nothing outlives a caller that panics or is killed itself.
 func StartTied(dir, name, bin string, args []string, env ...string) (*Proc, error) {
-	return start(dir, name, bin, args, &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}, env)
+	return StartTiedWith(nil, dir, name, bin, args, env...)
 }
 
-func start(dir, name, bin string, args []string, attr *syscall.SysProcAttr, env []string) (*Proc, error) {
+// StartTiedWith is StartTied for a process that inherits files, as descriptors 3 and on.
+func StartTiedWith(files []*os.File, dir, name, bin string, args []string, env ...string) (*Proc, error) {
+	return start(dir, name, bin, args, files, &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}, env)
+}
+
+func start(dir, name, bin string, args []string, files []*os.File, attr *syscall.SysProcAttr, env []string) (*Proc, error) {
 	p := &Proc{Name: name, Log: filepath.Join(dir, name+".log"), done: make(chan struct{})}
 	f, err := os.OpenFile(p.Log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
@@ -77,7 +82,7 @@
 	}
 	p.cmd = exec.Command(bin, args...)
 	p.cmd.Env = append(os.Environ(), env...)
-	p.cmd.Stdout, p.cmd.Stderr, p.cmd.SysProcAttr = f, f, attr
+	p.cmd.Stdout, p.cmd.Stderr, p.cmd.SysProcAttr, p.cmd.ExtraFiles = f, f, attr, files
 	if err := p.cmd.Start(); err != nil {
 		f.Close()
 		return nil, err
--- a/internal/fleetlab/real.go
+++ b/internal/fleetlab/real.go
@@ -369,10 +369,15 @@
 
 // start also tells when the process was started, as starts wait for each other.
 func (s *starter) start(dir, name, bin string, args []string, env ...string) (p *faultnet.Proc, at time.Time, err error) {
+	return s.startWith(nil, dir, name, bin, args, env...)
+}
+
+// startWith is start for a process that inherits files.
+func (s *starter) startWith(files []*os.File, dir, name, bin string, args []string, env ...string) (p *faultnet.Proc, at time.Time, err error) {
 	done := make(chan struct{})
 	s.calls <- func() {
 		at = time.Now()
-		p, err = faultnet.StartTied(dir, name, bin, args, env...)
+		p, err = faultnet.StartTiedWith(files, dir, name, bin, args, env...)
 		close(done)
 	}
 	<-done
--- a/internal/fleetlab/soak.go
+++ b/internal/fleetlab/soak.go
@@ -159,6 +159,11 @@
 	for i := range s.opt.Gateways {
 		g := newSoakGateway(s, i)
 		s.gateways = append(s.gateways, g)
+		if soakUpgraded(i) {
+			if err := g.share(); err != nil {
+				return err
+			}
+		}
 		if err := g.startProcess(); err != nil {
 			return err
 		}
--- a/internal/fleetlab/soak_fleet.go
+++ b/internal/fleetlab/soak_fleet.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -45,12 +46,14 @@
 	s                    *soak
 	name, addr, operator string
 	config, dir          string
+	socket               *os.File // its listening socket, which its processes inherit; nil: they have one each
 
 	mu    sync.Mutex
 	proc  *faultnet.Proc
 	life  int
 	began time.Time
 	ready time.Time // zero: not yet
+	first time.Time // any process was ready
 	term  time.Time // of this life
 	over  bool      // no process is to come
 	tune  int       // changes of its settings
@@ -64,6 +67,24 @@
 	return g
 }
 
+// life0 is the life that clients see of a gateway whose processes share a socket: they cannot tell
+// which of them has a connection.
+const life0 = 0
+
+// soakUpgraded says whether the processes of a gateway share a listening socket: every sixth's do.
+func soakUpgraded(i int) bool { return i%6 == 5 }
+
+// share opens the listening socket that the processes of the gateway inherit.
+func (g *soakGateway) share() error {
+	ln, err := net.Listen("tcp", g.addr)
+	if err != nil {
+		return err
+	}
+	defer ln.Close() // the file has a descriptor of its own
+	g.socket, err = ln.(*net.TCPListener).File()
+	return err
+}
+
 // configure writes the configuration file. A higher tune gives another deadline of one class
 // and another first address of discovery.
 func (g *soakGateway) configure(tune int) error {
@@ -102,6 +123,9 @@
 		return nil
 	}
 	g.life++
+	if g.socket != nil { // beside the operator's address of the process before
+		g.operator = fmt.Sprintf("%s:%d", strings.TrimSuffix(g.addr, ":9000"), 9001+g.life%4)
+	}
 	if err := g.configure(g.tune); err != nil {
 		return err
 	}
@@ -109,8 +133,12 @@
 	if faulty := filepath.Join(g.s.opt.Bin, FaultyGateway); g.name[2]%2 == 1 && isThere(faulty) {
 		bin, inject = faulty, fmt.Sprintf("%d %g", g.s.opt.Seed*100+uint64(g.life), soakFaultShare)
 	}
-	proc, began, err := g.s.start.start(g.s.dir, fmt.Sprintf("%s.%d", g.name, g.life), bin, nil,
-		"GW_CONFIG="+g.config, "GW_LOG=debug", "TMPDIR="+g.dir, "GW_INJECT="+inject)
+	var files []*os.File
+	env := []string{"GW_CONFIG=" + g.config, "GW_LOG=debug", "TMPDIR=" + g.dir, "GW_INJECT=" + inject}
+	if g.socket != nil {
+		files, env = []*os.File{g.socket}, append(env, "GW_ACCEPT_FD=3")
+	}
+	proc, began, err := g.s.start.startWith(files, g.s.dir, fmt.Sprintf("%s.%d", g.name, g.life), bin, nil, env...)
 	if err != nil {
 		return err
 	}
@@ -133,8 +161,12 @@
 
 func (g *soakGateway) await(life int) {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	url := "http://" + g.addr + "/_health"
+	if g.socket != nil { // another process may answer there
+		url = "http://" + g.operator + "/healthcheck"
+	}
 	for {
-		resp, err := client.Get("http://" + g.addr + "/_health")
+		resp, err := client.Get(url)
 		if err == nil {
 			resp.Body.Close()
 		}
@@ -145,6 +177,9 @@
 		}
 		if err == nil && resp.StatusCode == http.StatusOK {
 			g.ready = time.Now()
+			if g.first.IsZero() {
+				g.first = g.ready
+			}
 			g.mu.Unlock()
 			return
 		}
@@ -166,6 +201,9 @@
 func (g *soakGateway) serving() (bool, int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.socket != nil {
+		return g.proc != nil && !g.first.IsZero(), life0
+	}
 	return g.proc != nil && !g.ready.IsZero() && g.term.IsZero(), g.life
 }
 
@@ -206,9 +244,17 @@
 		g.mu.Unlock()
 		return
 	}
-	d := death{gateway: g.name, life: life, log: proc.Log}
 	g.term = time.Now()
 	g.mu.Unlock()
+	g.endProcess(proc, life, inOrder, around)
+	g.mu.Lock()
+	g.proc = nil
+	g.mu.Unlock()
+}
+
+// endProcess ends a process and notes how.
+func (g *soakGateway) endProcess(proc *faultnet.Proc, life int, inOrder bool, around []func(ended <-chan struct{})) {
+	d := death{gateway: g.name, life: life, log: proc.Log}
 	if ended, err := proc.Exited(); ended {
 		d.ended, d.code = time.Now(), exitCode(err)
 	} else if !inOrder {
@@ -232,9 +278,42 @@
 		}
 	}
 	g.s.ledger.note(func() { g.s.ledger.deaths = append(g.s.ledger.deaths, d) })
+}
+
+// upgrade starts a process beside the present one on the same socket and, once it is ready, ends
+// that one in order. Another upgrade may follow while it is still ending.
+func (g *soakGateway) upgrade(around ...func(ended <-chan struct{})) {
 	g.mu.Lock()
+	old, life := g.proc, g.life
+	if old == nil || g.ready.IsZero() || g.over {
+		g.mu.Unlock()
+		return
+	}
 	g.proc = nil
 	g.mu.Unlock()
+	if err := g.startProcess(); err != nil || !g.awaitProcess(30*time.Second) {
+		g.s.ledger.note(func() {
+			g.s.ledger.failures = append(g.s.ledger.failures, fmt.Sprintf("%s (life %d) is not ready 30 s after its start: %v", g.name, life+1, err))
+		})
+	}
+	g.s.busy.Add(1)
+	go func() {
+		defer g.s.busy.Done()
+		g.endProcess(old, life, true, around)
+	}()
+}
+
+// awaitProcess waits until the present process is ready.
+func (g *soakGateway) awaitProcess(most time.Duration) bool {
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		g.mu.Lock()
+		ready := !g.ready.IsZero()
+		g.mu.Unlock()
+		if ready {
+			return true
+		}
+	}
+	return false
 }
 
 func exitCode(err error) int {
--- a/internal/fleetlab/soak_judge.go
+++ b/internal/fleetlab/soak_judge.go
@@ -56,6 +56,9 @@
 		}
 		broken(nil, "bad clients", "%s: %s was let go after %v (0: not in 6 s)", b.gateway, b.kind, b.took)
 	}
+	for _, failure := range l.failures {
+		broken(nil, "start", "%s", failure)
+	}
 	s.judgeEnds(r, broken)
 	s.judgeStarts(r, broken)
 }
--- a/internal/fleetlab/soak_ledger.go
+++ b/internal/fleetlab/soak_ledger.go
@@ -7,16 +7,17 @@
 
 // ledger is what clients and servers of a soak have seen, by request.
 type ledger struct {
-	mu      sync.Mutex
-	ops     map[string]*soakOp
-	order   []string
-	again   map[string]bool // ids of requests that their clients sent once more under another
-	bad     []badClient
-	drains  []soakDrain
-	starts  []soakStart
-	outages []outage
-	crowds  []crowd
-	deaths  []death
+	mu       sync.Mutex
+	ops      map[string]*soakOp
+	order    []string
+	again    map[string]bool // ids of requests that their clients sent once more under another
+	bad      []badClient
+	drains   []soakDrain
+	starts   []soakStart
+	outages  []outage
+	crowds   []crowd
+	deaths   []death
+	failures []string // of processes to start
 }
 
 func newLedger() *ledger { return &ledger{ops: map[string]*soakOp{}, again: map[string]bool{}} }
--- a/internal/fleetlab/soak_plan.go
+++ b/internal/fleetlab/soak_plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -46,7 +47,17 @@
 func (s *soak) draw() trouble {
 	g := s.gateways[s.rng.IntN(len(s.gateways))]
 	v := s.servers[s.rng.IntN(len(s.servers))]
-	switch s.rng.IntN(20) {
+	kind := s.rng.IntN(22)
+	if kind >= 20 {
+		if shared := s.upgradable(); len(shared) > 0 {
+			g = shared[s.rng.IntN(len(shared))]
+		}
+		kind = s.rng.IntN(3)
+	}
+	if g.socket != nil && (kind < 3 || kind == 16) {
+		return s.upgrades(g, kind)
+	}
+	switch kind {
 	case 0:
 		return trouble{name: "end in order", on: g.name, do: func(t *trouble) { s.endPressed(g); g.startProcess() }}
 	case 1:
@@ -106,6 +117,30 @@
 	return trouble{name: "discovery counts anew", do: func(t *trouble) { s.outage(false, s.list.countAnew) }}
 }
 
+// upgradable are the gateways whose processes share a listening socket.
+func (s *soak) upgradable() (shared []*soakGateway) {
+	for _, g := range s.gateways {
+		if g.socket != nil {
+			shared = append(shared, g)
+		}
+	}
+	return shared
+}
+
+// upgrades is an upgrade in place of an end of that kind.
+func (s *soak) upgrades(g *soakGateway, kind int) trouble {
+	press := func(ended <-chan struct{}) {
+		s.clients.press(g, s.clients.rest(g, restingConns), rand.New(rand.NewPCG(s.opt.Seed, uint64(kind))), ended)
+	}
+	switch kind {
+	case 1:
+		return trouble{name: "upgrades in a row", on: g.name, do: func(*trouble) { g.upgrade(press); g.upgrade(press) }}
+	case 2:
+		return trouble{name: "upgrade among new settings", on: g.name, do: func(*trouble) { g.reloadsInARow(); g.upgrade(press); g.reload() }}
+	}
+	return trouble{name: "upgrade", on: g.name, do: func(*trouble) { g.upgrade(press) }}
+}
+
 // outage runs a trouble of discovery, through which it may still be reachable, and notes its time.
 func (s *soak) outage(reachable bool, do func()) {
 	i := 0
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -90,7 +90,7 @@
 		// The dial may have taken long: look again whether the request may go out. It
 		// guards against sending to a host that drains by now, or what has its answer, or for
 		// a client that has left while bytes that it had sent hid that.
-		p.heedNews()
+		p.heedNews(ctx)
 		if !p.permit(h, x) || t.late() {
 			p.put(c)
 			return lynxspool.NotSent, answer{}
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -87,6 +87,7 @@
 	anew    bool   // the whole list is wanted, whatever we have; belongs to Run
 	waited  int    // calls in a row that went without an answer; belongs to Run
 	client  http.Client
+	inForce func()        // returns once the lists that were handed on are in force
 	silence time.Duration // after which a watch is taken for dead
 	turn    float64       // how long the next call may wait its turn, in spans of silence; belongs to Run
 	answer  time.Duration // ... and a call without an answer, where another instance may be well
@@ -136,6 +137,7 @@
 		ask: cfg.Settings.Ask, asked: make(chan struct{}, 1), version: cfg.Known.Version,
 		silence: lynxspool.SilentAfter, turn: turnUsual, answer: callSilence, listed: len(cfg.Known.Servers) > 0, within: cfg.Settings.AskWithin,
 	}
+	d.inForce = func() {}
 	d.client = http.Client{Transport: &http.Transport{DialContext: d.dial, DisableKeepAlives: true}}
 	return d
 }
@@ -146,7 +148,7 @@
 	if err != nil {
 		return nil, err
 	}
-	watch := newWatchConn(c)
+	watch := newWatchConn(c, d.inForce)
 	d.mu.Lock()
 	d.conn = watch
 	d.mu.Unlock()
@@ -160,7 +162,10 @@
 	return d.conn
 }
 
-// Overdue says whether discovery has written something that should have been heeded by now: the
+// SetInForce gives what returns once the lists that were handed on are in force, before Run.
+func (d *Discovery) SetInForce(inForce func()) { d.inForce = inForce }
+
+// Overdue says whether discovery has written something that should be in force by now: the
 // process was held up, and changes count from when they were written.
 func (d *Discovery) Overdue() bool {
 	c := d.watched()
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -1,27 +1,24 @@
 package gateway
 
-import "time"
-
-// newsWait is how long an attempt waits at most for what discovery has written to be heeded.
-const newsWait = 100 * time.Millisecond
+import (
+	"context"
+	"time"
+)
 
 // News is what tells the pool of changes of the list; a Discovery is one.
 type News interface {
-	// Overdue says whether something has been written that should have been heeded by now.
+	// Overdue says whether something has been written that should be in force by now.
 	Overdue() bool
 }
 
-// Await has attempts wait for what news has written to be heeded: a change counts as notified from
-// when it was written. settle returns once all that was heeded is in force.
-func (p *Pool) Await(news News, settle func()) { p.news, p.settle = news, settle }
+// Await has attempts wait until what news has written is in force: a change counts as notified from
+// when it was written.
+func (p *Pool) Await(news News) { p.news = news }
 
-// heedNews waits until what discovery has written is in force, if that is overdue.
-func (p *Pool) heedNews() {
-	if p.news == nil || !p.news.Overdue() {
-		return
-	}
-	for end := time.Now().Add(newsWait); p.news.Overdue() && time.Now().Before(end); {
+// heedNews waits until what discovery has written is in force, if that is overdue, or the attempt is
+// given up: its reader is at work as soon as the process runs.
+func (p *Pool) heedNews(ctx context.Context) {
+	for p.news != nil && p.news.Overdue() && ctx.Err() == nil {
 		time.Sleep(time.Millisecond)
 	}
-	p.settle()
 }
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -31,7 +31,6 @@
 	audit   *Audit
 	grace   time.Duration // after which nothing new goes to a server that leaves
 	news    News          // of the list; nil: nobody waits for any
-	settle  func()        // returns once the news that was heeded is in force
 
 	mu     sync.Mutex
 	open   int               // connections, in use, idle and being dialled
--- a/internal/gateway/watchconn.go
+++ b/internal/gateway/watchconn.go
@@ -8,18 +8,22 @@
 	"syscall"
 )
 
-// watchConn is a connection to discovery that knows whether what came on it has been heeded. Its
-// reader asks for more only once all whole lists have gone to the loop.
+// watchConn is a connection to discovery that knows whether what came on it is in force. Its reader
+// asks for more only once all whole lists have gone to the loop.
 type watchConn struct {
 	net.Conn
-	raw syscall.RawConn // of Conn; nil where there is none, as in tests without sockets
+	raw     syscall.RawConn // of Conn; nil where there is none, as in tests without sockets
+	inForce func()          // returns once all that has gone to the loop is in force
 
 	mu     sync.Mutex
-	reads  bool // what was read last had waited for long, and more has not been asked for
+	late   int // reads of what had waited for long
+	heeded int // ... of which all is in force
 	closed bool
 }
 
-func newWatchConn(c net.Conn) *watchConn { return &watchConn{Conn: c, raw: rawConn(c)} }
+func newWatchConn(c net.Conn, inForce func()) *watchConn {
+	return &watchConn{Conn: c, raw: rawConn(c), inForce: inForce}
+}
 
 // Read reads, and looks how long what it reads has waited in one step under c.mu.
 func (c *watchConn) Read(p []byte) (int, error) {
@@ -32,10 +36,12 @@
 		waited := waitedLong(fd)
 		n, err := retryInterrupted(func() (int, error) { return syscall.Read(fd, p) })
 		if err == syscall.EAGAIN {
-			c.reads = false
+			c.handedOn()
 			return 0, false, nil
 		}
-		c.reads = n > 0 && (c.reads || waited)
+		if waited && n > 0 {
+			c.late++
+		}
 		return n, true, err
 	})
 	var call syscall.Errno
@@ -50,6 +56,20 @@
 	return n, nil
 }
 
+// handedOn notes that all that was read has gone to the loop; c.mu is held.
+func (c *watchConn) handedOn() {
+	if c.late == c.heeded {
+		return
+	}
+	late := c.late
+	go func() { // the reader must not wait for the loop
+		c.inForce()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.heeded = late
+	}()
+}
+
 // Close ends the connection; what it brought and nobody read is lost, so nothing waits for it.
 func (c *watchConn) Close() error {
 	c.mu.Lock()
@@ -58,14 +78,14 @@
 	return c.Conn.Close()
 }
 
-// overdue says whether something has come long ago that has not been heeded yet.
+// overdue says whether something has come long ago that is not in force yet.
 func (c *watchConn) overdue() (overdue bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.raw == nil || c.closed {
 		return false
 	}
-	c.raw.Control(func(fd uintptr) { overdue = c.reads || waitedLong(int(fd)) }) // an error is that of a closed connection
+	c.raw.Control(func(fd uintptr) { overdue = c.late > c.heeded || waitedLong(int(fd)) }) // an error is that of a closed connection
 	return overdue
 }
 
