--- a/asking.go
+++ b/asking.go
@@ -1,12 +1,12 @@
 package lynxspool
 
 // When discovery is asked for the list: a bank that starts, or loses discovery, together
-// must not swamp it with calls, and yet hear of each change by the clock of the told.
+// must not swamp it with calls, and yet hear of each change by the clock of notifications.
 
 const (
-	ToldAfter   = Time(6e9)     // a change counts as told so long after discovery had it and could be reached
-	SilentAfter = ToldAfter / 2 // a watch without a line (one is due every 2 s), or a call, has failed
-	AskMost     = ToldAfter / 2 // wait for the next call at the most, whatever Instances and AskWithin
+	NotifiedAfter = Time(6e9)         // a change counts as notified so long after discovery had it and could be reached
+	SilentAfter   = NotifiedAfter / 2 // a watch without a line (one is due every 2 s), or a call, has failed
+	AskMost       = NotifiedAfter / 2 // wait for the next call at the most, whatever Instances and AskWithin
 
 	resumeMost  = Time(500e6) // all of a fleet whose watches ended ask anew within it: its clock is 2 s
 	resumeLeast = Time(500e6) // ... unless the watch was open for less: it may end each time
@@ -44,7 +44,7 @@
 	least = min(least, AskMost*n/(n+1)) // a wait may be longer than a period by a slot
 	period := min(max(askGap*n, least), within, AskMost)
 	gap := period / 2
-	if listed { // two calls fit into the clock of the told: just the last call's slot is passed over
+	if listed { // two calls fit into the clock of notifications: just the last call's slot is passed over
 		gap = period / max(n, 2)
 	}
 	if fails == 0 { // nothing was asked just now
@@ -63,8 +63,8 @@
 }
 
 // askUnheardAgain is when an instance asks next that found nobody at discovery's address. Such calls
-// cost nobody a turn, and discovery may be back for a moment only: whatever it has then counts as told
-// ToldAfter later. So only askGap between the calls of the whole bank is kept.
+// cost nobody a turn, and discovery may be back for a moment only: whatever it has then counts as notified
+// NotifiedAfter later. So only askGap between the calls of the whole bank is kept.
 func askUnheardAgain(set *Settings, now Time, jitter float64) Time {
 	period := min(max(askGap*Time(set.Instances), askUnheard), set.AskWithin, AskMost)
 	return slotAfter(set, now, period/2, period, jitter)
--- a/asking_test.go
+++ b/asking_test.go
@@ -57,7 +57,7 @@
 }
 
 // However large the bank and however long a list may go unasked, a call that failed is made
-// again within half of the clock of the told, so that two fit into it; and the calls of a
+// again within half of the clock of notifications, so that two fit into it; and the calls of a
 // bank that keep failing stay at 100 a second, or one an instance in half of the clock or, if
 // that is shorter, in the time that a list may go unasked.
 func TestTwoCallsFitIntoTheClock(t *testing.T) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -192,8 +192,8 @@
 		c.SetWriteDeadline(t.by)
 		defer c.SetWriteDeadline(time.Time{}) // ahead of the put below, as it is set later
 	}
-	head, told := x.encode()
-	p.audit.sent(c.host, x, time.Now(), told, p.grace)
+	head, stated := x.encode()
+	p.audit.sent(c.host, x, time.Now(), stated, p.grace)
 	early, err := c.write(x, head)
 	if err != nil {
 		switch {
--- a/internal/gateway/audit.go
+++ b/internal/gateway/audit.go
@@ -58,16 +58,16 @@
 	slog.Error("rule broken: "+rule, args...)
 }
 
-// sent checks an attempt whose first byte went out at began, and which told its server a time.
-func (a *Audit) sent(h *host, x *exchange, began time.Time, told time.Duration, grace time.Duration) {
+// sent checks an attempt whose first byte went out at began, and which stated a time-out to its server.
+func (a *Audit) sent(h *host, x *exchange, began time.Time, stated time.Duration, grace time.Duration) {
 	if left := h.leftAt.Load(); left != nil && began.Sub(*left) > grace {
 		count(&a.sentAfterNotice, "sent after notification", "id", x.requestID(), "host", h.id, "after", began.Sub(*left))
 	}
 	if gone := x.goneAt.Load(); gone != nil && began.Sub(*gone) > goneSlack {
 		count(&a.sentForGone, "sent for a client that has gone", "id", x.requestID(), "after", began.Sub(*gone))
 	}
-	if left := x.dueAt().Add(answerMargin).Sub(began); told > left+timeoutSlack {
-		count(&a.timeoutsOver, "server told more time than is left", "id", x.requestID(), "told", told, "left", left)
+	if left := x.dueAt().Add(answerMargin).Sub(began); stated > left+timeoutSlack {
+		count(&a.timeoutsOver, "server told more time than is left", "id", x.requestID(), "told", stated, "left", left)
 	}
 }
 
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -8,14 +8,11 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"lynxspool"
@@ -28,7 +25,7 @@
 	// says nothing. Where there are many, all of them are tried within callsWithin.
 	callSilence = 2 * time.Second
 	callLeast   = 500 * time.Millisecond
-	callsWithin = 3 * lynxspool.ToldAfter / 4
+	callsWithin = 3 * lynxspool.NotifiedAfter / 4
 	// Where there is one, a call that is given up keeps its place in the queue, and the next
 	// has another, so a call is left its time to wait its turn. After a watch that ended its
 	// clock leaves none for a second call anyway. All in spans of a watch's silence.
@@ -36,15 +33,15 @@
 	turnUsual  = 1.5
 	turnEnded  = 2
 	watchDial  = 500 * time.Millisecond
-	// Where lists are pushed, what the gateway's own agent has counts as told whether or
+	// Where lists are pushed, what the gateway's own agent has counts as notified whether or
 	// not a watch is open: a new one is begun soon, and watchMost is half of the longest wait.
 	watchBackoff = 50 * time.Millisecond // before a new watch, doubled to watchMost
 	watchMost    = 300 * time.Millisecond
 	maxList      = 4 << 20 // a list of 2,000 hosts has 250 kB
 	// A list older than ours is refused for this long; if every address still offers
 	// only older ones then, discovery has counted anew (a catalog rebuilt empty) and
-	// its whole list is taken: what it has counts as told, whatever its number.
-	resetAfter = lynxspool.ToldAfter / 4
+	// its whole list is taken: what it has counts as notified, whatever its number.
+	resetAfter = lynxspool.NotifiedAfter / 4
 	// While discovery is down, how often the age of the list in use is logged.
 	ageEvery = 10 * time.Second
 )
@@ -237,7 +234,7 @@
 		if errors.Is(err, errMoved) {
 			continue
 		}
-		// A watch that fell silent has missed what counts as told by now: it is opened anew
+		// A watch that fell silent has missed what counts as notified by now: it is opened anew
 		// at once, and only if that fails is the module told, which takes its time. So is a
 		// call that got no answer, but once: where every call goes unanswered the module's
 		// turns keep the bank's calls apart.
@@ -288,92 +285,6 @@
 	}
 }
 
-// rest heeds a Retry-After, in seconds, as long as the module allows. One that is no such
-// number is ignored, one that is longer is cut.
-func (d *Discovery) rest(retryAfter string) {
-	if retryAfter == "" {
-		return
-	}
-	s, err := strconv.ParseFloat(retryAfter, 64)
-	if err != nil || !(s >= 0) {
-		slog.Warn("discovery's Retry-After is no number of seconds, ignored", "value", retryAfter[:min(len(retryAfter), 40)])
-		return
-	}
-	asked := time.Duration(math.MaxInt64)
-	if s < asked.Seconds() {
-		asked = time.Duration(s * float64(time.Second))
-	}
-	wait := d.restFor(asked, rand.Float64())
-	if wait < asked {
-		slog.Warn("discovery's Retry-After is longer than changes may go unheard, cut", "value", retryAfter[:min(len(retryAfter), 40)])
-	}
-	d.resting = time.Now().Add(wait)
-}
-
-// answerIn is how long a call may go without an answer. One that had none may have waited
-// its turn at a busy discovery, so the next is given longer.
-func (d *Discovery) answerIn() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if n := len(d.addrs); n > 1 {
-		return min(d.silence, d.answer, max(callLeast, callsWithin/time.Duration(n)))
-	}
-	turn := d.turn
-	if d.waited > 0 {
-		turn = max(turn, turnEnded)
-	}
-	return time.Duration(turn * float64(d.silence))
-}
-
-// errEnded marks a watch whose connection ended in order.
-var errEnded = errors.New("the watch ended")
-
-// lossKind says what the module has to know of how discovery was lost.
-func lossKind(err error) lynxspool.ListKind {
-	switch {
-	case errors.Is(err, errEnded):
-		return lynxspool.ListEnded
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return lynxspool.ListUnheard
-	}
-	return lynxspool.ListFailed
-}
-
-// restFor is how long discovery is left alone that asks for it: up to a quarter more, as
-// jitter says, so that those who were told one time do not meet, but not longer than a list
-// may go unasked; who has a list keeps to the clock of the told.
-func (d *Discovery) restFor(asked time.Duration, jitter float64) time.Duration {
-	most := d.within
-	if most <= 0 {
-		most = ageEvery
-	}
-	if d.listed {
-		most = min(most, lynxspool.AskMost)
-	}
-	asked = min(asked, most)
-	return min(asked+time.Duration(jitter/4*float64(asked)), most)
-}
-
-// whenSilent calls end after a time, unless the timer is reset before. What waits unread then is read
-// first: the process was held up, not discovery.
-func (d *Discovery) whenSilent(after time.Duration, end func()) (silence *time.Timer) {
-	set := make(chan struct{})
-	silence = time.AfterFunc(after, func() {
-		<-set
-		if c := d.watched(); c != nil && c.hasNews() {
-			silence.Reset(readFirst)
-			return
-		}
-		end()
-	})
-	close(set)
-	return silence
-}
-
-// jitter draws a wait from half of d to twice d: gateways that lost discovery together must
-// not come back to it together.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(3*d/2) }
-
 // watch holds one watch until it ends and says whether it brought anything, or was open
 // when it fell silent.
 func (d *Discovery) watch(ctx context.Context, loop Lister) (heard bool, err error) {
@@ -481,19 +392,6 @@
 	}
 }
 
-// logCall notes how a call for a list went: where a fleet is told late, the waits of its calls
-// say whose turn came when.
-func logCall(ctx context.Context, index uint64, took time.Duration, resp *http.Response, err error) {
-	status := 0
-	if resp != nil {
-		status = resp.StatusCode
-	}
-	if cause := context.Cause(ctx); cause != nil {
-		err = cause
-	}
-	slog.Info("call for the list", "index", index, "took", took.Round(time.Millisecond), "status", status, "err", err)
-}
-
 // heedfulReader tells of every read that brings something, and ends what brings too much.
 type heedfulReader struct {
 	from  io.Reader
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -22,7 +22,7 @@
 func (l lists) Members(kind lynxspool.ListKind, _ MemberList) { l <- kind }
 
 // A time to come back at is heeded with a little added by chance, never beyond what a list
-// may go unasked, nor with a list beyond half of the clock of the told; what is no such time
+// may go unasked, nor with a list beyond half of the clock of notifications; what is no such time
 // is ignored.
 func TestRetryAfterIsHeededWithinBounds(t *testing.T) {
 	const second = time.Second
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -460,7 +460,7 @@
 	})
 }
 
-// Where the list must be asked for, too: what a silent watch missed counts as told while the
+// Where the list must be asked for, too: what a silent watch missed counts as notified while the
 // module would still wait for its turn to ask, so it is begun anew at once, once asked for.
 // That holds as well for one that never said more than that it is open.
 func TestSilentWatchIsNotWaitedFor(t *testing.T) {
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/notification_clock_test.go
@@ -21,7 +21,7 @@
 // These tests run on a fake clock, over pipes: how late a change is heard of is what they
 // are about, so nothing in them may depend on the machine.
 
-// drainGrace is how long after a change counts as told a send may still go out.
+// drainGrace is how long after a change counts as notified a send may still go out.
 const drainGrace = time.Second
 
 // bubbleNet leads dials to who serves an address in the bubble.
@@ -429,11 +429,11 @@
 	disco.silence()
 	disco.will(next...)
 	disco.drain("s-0")
-	time.Sleep(lynxspool.ToldAfter + drainGrace)
+	time.Sleep(lynxspool.NotifiedAfter + drainGrace)
 	for rank, g := range gws {
 		if g.usable("s-0") {
 			t.Errorf("gateway %d would send to a host that drains, %v after its watch fell silent", rank,
-				lynxspool.ToldAfter+drainGrace)
+				lynxspool.NotifiedAfter+drainGrace)
 		}
 		if !g.usable("s-1") {
 			t.Errorf("gateway %d does not send to one that is ready", rank)
@@ -447,7 +447,7 @@
 	name string
 	do   func(g *bubbleGateway, d *bubbleDiscovery) (now *bubbleDiscovery)
 	back time.Duration
-	// When the change counts as told, after back, with a list that is asked for and with one
+	// When the change counts as notified, after back, with a list that is asked for and with one
 	// that is pushed. It is pushed by the gateway's own agent, so there a change counts at once
 	// unless a call failed or a watch is silent.
 	asked, pushed time.Duration
@@ -456,37 +456,37 @@
 const atOnce = 0
 
 var faults = []fault{
-	{name: "silent after a line", asked: lynxspool.ToldAfter, pushed: lynxspool.ToldAfter,
+	{name: "silent after a line", asked: lynxspool.NotifiedAfter, pushed: lynxspool.NotifiedAfter,
 		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery {
 			d.line()
 			synctest.Wait()
 			d.silence()
 			return d
 		}},
-	{name: "silent before the first line", back: 4 * time.Second, asked: lynxspool.ToldAfter, pushed: lynxspool.ToldAfter,
+	{name: "silent before the first line", back: 4 * time.Second, asked: lynxspool.NotifiedAfter, pushed: lynxspool.NotifiedAfter,
 		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery {
 			d.will(callMute) // the call that is mute opens within 4 s, and its silence begins then
 			d.end()
 			return d
 		}},
-	{name: "reset", asked: lynxspool.ToldAfter, pushed: atOnce,
+	{name: "reset", asked: lynxspool.NotifiedAfter, pushed: atOnce,
 		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery { d.end(); return d }},
-	{name: "ended", asked: lynxspool.ToldAfter, pushed: atOnce,
+	{name: "ended", asked: lynxspool.NotifiedAfter, pushed: atOnce,
 		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery { d.finish(); return d }},
-	{name: "503", asked: lynxspool.ToldAfter, pushed: lynxspool.ToldAfter,
+	{name: "503", asked: lynxspool.NotifiedAfter, pushed: lynxspool.NotifiedAfter,
 		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery { d.will(callBusy); d.end(); return d }},
-	{name: "Retry-After", asked: lynxspool.ToldAfter, pushed: lynxspool.ToldAfter,
+	{name: "Retry-After", asked: lynxspool.NotifiedAfter, pushed: lynxspool.NotifiedAfter,
 		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery { d.will(callRest); d.end(); return d }},
-	{name: "unanswered", asked: lynxspool.ToldAfter, pushed: lynxspool.ToldAfter,
+	{name: "unanswered", asked: lynxspool.NotifiedAfter, pushed: lynxspool.NotifiedAfter,
 		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery { d.will(callUnanswered); d.end(); return d }},
-	{name: "a dial that hangs", asked: lynxspool.ToldAfter, pushed: lynxspool.ToldAfter,
+	{name: "a dial that hangs", asked: lynxspool.NotifiedAfter, pushed: lynxspool.NotifiedAfter,
 		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery {
 			d.net.delay(d.addr, time.Hour)
 			d.end()
 			time.AfterFunc(time.Second, func() { d.net.delay(d.addr, 0) })
 			return d
 		}},
-	{name: "outage and return", back: 8 * time.Second, asked: lynxspool.ToldAfter, pushed: atOnce,
+	{name: "outage and return", back: 8 * time.Second, asked: lynxspool.NotifiedAfter, pushed: atOnce,
 		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery {
 			d.down()
 			time.AfterFunc(8*time.Second, d.up)
@@ -501,7 +501,7 @@
 			g.d.Move(moved.addr)
 			return moved
 		}},
-	{name: "version counted anew", asked: lynxspool.ToldAfter, pushed: lynxspool.ToldAfter,
+	{name: "version counted anew", asked: lynxspool.NotifiedAfter, pushed: lynxspool.NotifiedAfter,
 		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery {
 			d.mu.Lock()
 			d.version = 1
@@ -509,7 +509,7 @@
 			d.end()
 			return d
 		}},
-	{name: "a whole list without the host", asked: lynxspool.ToldAfter, pushed: atOnce,
+	{name: "a whole list without the host", asked: lynxspool.NotifiedAfter, pushed: atOnce,
 		do: func(_ *bubbleGateway, d *bubbleDiscovery) *bubbleDiscovery { d.omits = true; d.end(); return d }},
 }
 
@@ -539,7 +539,7 @@
 }
 
 // Whatever goes wrong with discovery, and however a request comes to be sent, a host that has
-// begun to drain gets nothing new from the grace on after that counts as told; the others are
+// begun to drain gets nothing new from the grace on after that counts as notified; the others are
 // used, and discovery gets few calls for it.
 func TestNothingIsSentOnceADrainCountsAsTold(t *testing.T) {
 	for _, f := range faults {
@@ -583,7 +583,7 @@
 	}
 	time.Sleep(told + 10*time.Second)
 	if last := hosts[0].last().Sub(began); last > told+drainGrace {
-		t.Errorf("the last request goes to the host %v after it began to drain, which counts as told after %v", last, told)
+		t.Errorf("the last request goes to the host %v after it began to drain, which counts as notified after %v", last, told)
 	}
 	if end := time.Now(); hosts[1].between(end.Add(-2*time.Second), end)+hosts[2].between(end.Add(-2*time.Second), end) == 0 {
 		t.Error("the hosts that are ready get nothing")
@@ -599,7 +599,7 @@
 }
 
 // A list that is pushed is the gateway's own agent's, which learns nothing while discovery is
-// down; what it gets at the return counts as told at once. So however long it was down, the
+// down; what it gets at the return counts as notified at once. So however long it was down, the
 // gateway has it within the grace; and it does not call all the time meanwhile.
 func TestReturnOfAnAgentIsNoticedWithinTheGrace(t *testing.T) {
 	tries, without := 0, 0.0
@@ -651,9 +651,9 @@
 			time.Sleep(5 * time.Second)
 			disco.end()
 			disco.drain("s-0")
-			time.Sleep(lynxspool.ToldAfter + drainGrace)
+			time.Sleep(lynxspool.NotifiedAfter + drainGrace)
 			if g.usable("s-0") {
-				t.Errorf("asked for %t: a drain is not heard of %v after it", ask, lynxspool.ToldAfter+drainGrace)
+				t.Errorf("asked for %t: a drain is not heard of %v after it", ask, lynxspool.NotifiedAfter+drainGrace)
 			}
 		})
 	}
@@ -728,7 +728,7 @@
 			disco.up()
 			time.Sleep(returns)
 			disco.down()
-			time.Sleep(lynxspool.ToldAfter - returns)
+			time.Sleep(lynxspool.NotifiedAfter - returns)
 			for rank, g := range gateways {
 				if g.usable("s-0") {
 					t.Errorf("away for %v: gateway %d has not heard of a drain 6 s after the return", away, rank)
--- a/internal/gateway/notified_test.go
+++ b/internal/gateway/notified_test.go
@@ -106,7 +106,7 @@
 		bubbleFleet(t, ctx, n, disco, gateways)
 		before := disco.called()
 		disco.end()
-		time.Sleep(lynxspool.ToldAfter)
+		time.Sleep(lynxspool.NotifiedAfter)
 		if calls := disco.called() - before; calls != gateways {
 			t.Errorf("%d gateways made %d calls after their watches were reset", gateways, calls)
 		}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -53,7 +53,7 @@
 	accepting atomic.Bool
 	stopping  atomic.Bool
 	exitAt    time.Time     // set before stopping: all answers are due by then
-	told      chan struct{} // closed with stopping
+	stopped   chan struct{} // closed with stopping
 
 	mu      sync.Mutex
 	conns   map[net.Conn]connState
@@ -65,7 +65,7 @@
 func NewServer(cfg *Config, loop *Loop) *Server {
 	s := &Server{
 		cfg: cfg, loop: loop, budget: cfg.Sockets * clientSockets / 100,
-		conns: map[net.Conn]connState{}, told: make(chan struct{}),
+		conns: map[net.Conn]connState{}, stopped: make(chan struct{}),
 		slots: make(chan struct{}, cfg.Sockets*mostSockets/100),
 	}
 	s.http = http.Server{
@@ -152,7 +152,7 @@
 	if !ok {
 		panic(http.ErrAbortHandler) // a return would be an empty 200
 	}
-	s.mayKeep(w) // the end may have been told meanwhile
+	s.mayKeep(w) // the end may have begun meanwhile
 	s.give(w, r, x, a)
 }
 
@@ -166,7 +166,7 @@
 // await waits for the answer of an exchange. It says false when nobody wants it any more.
 func (s *Server) await(r *http.Request, x *exchange) (answer, bool) {
 	var whole chan struct{}
-	gone, told := r.Context().Done(), s.told
+	gone, stopped := r.Context().Done(), s.stopped
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	if x.upload != nil {
@@ -188,9 +188,9 @@
 		case <-whole:
 			whole, gone = nil, r.Context().Done()
 			timer.Reset(time.Until(due()))
-		case <-told:
+		case <-stopped:
 			// The process ends before some of the requests that it has taken are due.
-			told = nil
+			stopped = nil
 			timer.Reset(time.Until(due()))
 		case <-gone:
 			x.leave()
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -28,7 +28,7 @@
 	most := min(s.loop.rules.Load().longest(), exitDeadline)
 	s.exitAt = now.Add(exitTime + most - stopMargin)
 	s.stopping.Store(true)
-	close(s.told)
+	close(s.stopped)
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
 	if s.cfg.AcceptFD != 0 {
--- a/notified.go
+++ b/notified.go
@@ -14,7 +14,7 @@
 	holdMargin = Time(200e6) // sends stop this long before they must: a process may be held up for 150 ms
 	// So long after a loss sends go on, told or not: a discovery that answers nobody must not
 	// end service.
-	heldMost = 2 * ToldAfter
+	heldMost = 2 * NotifiedAfter
 )
 
 // unfollowed notes that discovery no longer keeps the list current, and by when that matters.
@@ -24,7 +24,7 @@
 	case ListEnded:
 		notified = EndedAfter
 	case ListSilent:
-		notified = ToldAfter - SilentAfter
+		notified = NotifiedAfter - SilentAfter
 	case ListMoved:
 		notified = MovedAfter
 	case ListUnheard:
