Take the allocations of the law of time out of a request's way

A reader of a connection keeps its closure, a server's connection its raw access, a request its connection in place of a closure.

--- a/internal/fleetlab/soak_client.go
+++ b/internal/fleetlab/soak_client.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -211,27 +210,11 @@
 		c.ask(c.other(g), next, second.id)
 		return
 	}
-	if taken := c.take(conn, g); !taken {
-		c.s.ledger.note(func() { second.left, second.ended = time.Now(), time.Now() })
-		return
-	}
 	c.await(conn, g, next, second, true, err)
 }
 
 var errClosedBefore = errors.New("the connection ended with the answer before")
 
-// take takes a connection back that await has put among the resting ones.
-func (c *soakClients) take(conn *soakConn, g *soakGateway) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	i := slices.Index(c.idle[g], conn)
-	if i < 0 {
-		return false
-	}
-	c.idle[g] = slices.Delete(c.idle[g], i, i+1)
-	return true
-}
-
 // await notes the answer of a request that was sent with err, and says whether its connection stays.
 func (c *soakClients) await(conn *soakConn, g *soakGateway, ask soakAsk, op *soakOp, reused bool, err error) bool {
 	status, closing, got := 0, true, false
@@ -250,6 +233,8 @@
 	case closing || !ask.keep:
 		conn.Close()
 		return false
+	case ask.kind == askPipelined:
+		return true // the next answer is still to come
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,7 +30,9 @@
 	from time.Time     // what the host is charged with runs from here
 	took time.Duration // ... for this long, if it does not run to the end
 
-	sent atomic.Pointer[sending] // nil: not written whole yet
+	sent   atomic.Bool // it was written whole, and the two below are set
+	sentOn *conn
+	sentAt time.Time
 
 	mu     sync.Mutex
 	ended  bool             // belongs to the loop
@@ -39,16 +41,9 @@
 	passes bool // the answer is being passed on: it cannot be called off any more
 }
 
-// sending is a request that was written whole.
-type sending struct {
-	conn *conn
-	at   time.Time
-}
-
 // answerCame says whether some of its answer has come, read or not.
 func (t *try) answerCame() bool {
-	sent := t.sent.Load()
-	return sent != nil && sent.conn.answerCame(sent.at)
+	return t.sent.Load() && t.sentOn.answerCame(t.sentAt)
 }
 
 // end calls the attempt off.
@@ -213,7 +208,8 @@
 		return lynxspool.ConnectFailed, answer{}
 	}
 	wrote := time.Now()
-	t.sent.Store(&sending{c, wrote})
+	t.sentOn, t.sentAt = c, wrote
+	t.sent.Store(true)
 	if x.upload != nil && !early {
 		t.from = wrote
 		t.whole()
--- /dev/null
+++ b/internal/gateway/bench_test.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"lynxspool"
+)
+
+// BenchmarkRequestsWay is one request's way from a client through the gateway to a server and back, on
+// connections that are kept. Allocations are those of all three.
+func BenchmarkRequestsWay(b *testing.B) {
+	server := benchServer(b)
+	cfg := testConfig()
+	cfg.Known.Servers = []Member{{ID: "s-0", Addr: server, State: "ready"}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	pool := NewPool(cfg)
+	loop, err := NewLoop(cfg, pool, func() {})
+	if err != nil {
+		b.Fatal(err)
+	}
+	clients := NewServer(cfg, loop)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go loop.Run(ctx)
+	go clients.Serve(ln)
+	defer clients.http.Close()
+	loop.Members(lynxspool.ListSaved, cfg.Known)
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	in := bufio.NewReader(c)
+	b.ReportAllocs()
+	for b.Loop() {
+		io.WriteString(c, lookHead)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			b.Fatal(resp, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+	}
+}
+
+// benchServer answers every request on every connection at once.
+func benchServer(b *testing.B) (addr string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				buf := make([]byte, 4096) // a request comes in one piece
+				for {
+					if _, err := c.Read(buf); err != nil {
+						return
+					}
+					io.WriteString(c, good)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -37,6 +37,7 @@
 		c, framed.Conn, framed.unread = queued.Conn, queued.Conn, queued.queue
 	}
 	framed.raw = rawConn(c)
+	framed.reader.init(framed.raw, framed.readNow)
 	return framed
 }
 
@@ -54,6 +55,7 @@
 	due    time.Time      // a head that has begun to come in while idle has to be whole; zero: none has
 	unread arrival        // of what has not been read
 	readBy time.Time      // deadline of reads
+	reader connReader
 	at     place
 	left   int64        // bytes of the body or chunk still to come
 	line   []byte       // start of the line that is coming in
@@ -79,8 +81,7 @@
 		c.follow(p[:n])
 		return n, err
 	}
-	var waits time.Time
-	n, err = readWhenReady(c.raw, func(fd int) (int, bool, error) { return c.readNow(fd, p, &waits) })
+	n, err = c.reader.read(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.readLate(p, err)
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -23,7 +23,8 @@
 	class, tenant int
 	repeat        bool
 	due           func(time.Time) time.Time // the same, or when the process ends
-	wholeAt       func() time.Time          // when its last byte came, or is known not to have come yet; nil: left ago at its deadline
+	from          *framedConn               // its client's connection; nil in tests without one
+	head          *requestHead              // as from has seen it
 	left          time.Duration             // that the client waits from its last byte on, less answerMargin
 	deadline      time.Time                 // when its answer is due; of an upload, once it is whole
 
@@ -45,10 +46,10 @@
 // last moment at which it was known not to have. All that a request's time decides is counted from
 // here: the time told to a server, the deadline, when it is shed, and the audit.
 func (x *exchange) began() time.Time {
-	if x.wholeAt == nil {
+	if x.from == nil {
 		return x.deadline.Add(-x.left)
 	}
-	return x.wholeAt()
+	return x.from.wholeAt(x.head)
 }
 
 // dueAt is when its answer is due by its client's time alone.
--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -136,7 +137,7 @@
 
 // endHead is the end of a head: what follows is its body or another head.
 func (c *framedConn) endHead() {
-	c.latest = new(requestHead)
+	c.latest = &requestHead{}
 	*c.latest = c.head
 	h := c.latest
 	h.odd = h.odd || h.encoded && h.length != ""
@@ -173,7 +174,7 @@
 		return nil, false // net/http sees a head where we see none
 	}
 	h = c.heads[0]
-	c.heads = c.heads[1:]
+	c.heads = slices.Delete(c.heads, 0, 1)
 	// HTTP/1.0 has no Transfer-Encoding.
 	return h, !h.odd && !(h.encoded && !r.ProtoAtLeast(1, 1)) && h.encoded == (len(r.TransferEncoding) > 0)
 }
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -59,6 +59,7 @@
 // Pool.
 type conn struct {
 	net.Conn
+	raw     syscall.RawConn // of Conn; nil where there is none, as in tests without sockets
 	host    *host
 	addr    string
 	started int64
@@ -256,7 +257,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	c.Conn, c.since = nc, time.Now()
+	c.Conn, c.raw, c.since = nc, rawConn(nc), time.Now()
 	c.limit = &io.LimitedReader{R: nc}
 	c.in = bufio.NewReader(c.limit)
 	return c, nil
@@ -282,16 +283,11 @@
 // quiet says whether an idle connection is open with nothing to read: one that the
 // host has closed, or on which it said something unasked, carries no request.
 func (c *conn) quiet() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
+	if c.raw == nil {
 		return false
 	}
 	open := false
-	err = raw.Read(func(fd uintptr) bool {
+	err := c.raw.Read(func(fd uintptr) bool {
 		_, err := peek(int(fd))
 		open = err == syscall.EAGAIN
 		return true
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -302,7 +302,7 @@
 	}
 	if c, ok := r.Context().Value(framedKey{}).(*framedConn); ok {
 		x.gone = c.gone
-		x.wholeAt = func() time.Time { return c.wholeAt(head) }
+		x.from, x.head = c, head
 	}
 	bad := func(format string, args ...any) (*exchange, int, error) {
 		return nil, http.StatusBadRequest, fmt.Errorf(format, args...)
--- a/internal/gateway/unread.go
+++ b/internal/gateway/unread.go
@@ -48,27 +48,46 @@
 	return raw
 }
 
-// readWhenReady calls read whenever there may be something to read, until it is done.
-func readWhenReady(raw syscall.RawConn, read func(fd int) (n int, done bool, err error)) (n int, err error) {
-	var failed error
-	err = raw.Read(func(fd uintptr) (done bool) {
-		n, done, failed = read(int(fd))
+// connReader reads a connection by a function that is called whenever there may be something to
+// read, until it is done. It has one reader at a time, and allocates nothing by the read.
+type connReader struct {
+	raw   syscall.RawConn
+	ready func(fd uintptr) bool // of raw.Read
+
+	p     []byte
+	waits time.Time // since when the reader has found nothing; zero: it has not looked, or found some
+	n     int
+	err   error
+}
+
+// init makes a reader. read reads what there is into p; where that is nothing, it is not done and
+// notes since when its reader waits.
+func (r *connReader) init(raw syscall.RawConn, read func(fd int, p []byte, waits *time.Time) (n int, done bool, err error)) {
+	r.raw = raw
+	r.ready = func(fd uintptr) (done bool) {
+		r.n, done, r.err = read(int(fd), r.p, &r.waits)
 		return done
-	})
+	}
+}
+
+// read reads into p.
+func (r *connReader) read(p []byte) (int, error) {
+	r.p, r.waits, r.n, r.err = p, time.Time{}, 0, nil
+	err := r.raw.Read(r.ready)
+	r.p = nil
 	if err != nil {
 		return 0, err
 	}
-	return n, failed
+	return r.n, r.err
 }
 
 // answerWaits says whether some of an answer has come that nobody has read.
 func (c *conn) answerWaits() bool {
-	raw := rawConn(c.Conn)
-	if raw == nil {
+	if c.raw == nil {
 		return false
 	}
 	waits := false
-	raw.Control(func(fd uintptr) { // an error is that of a closed connection
+	c.raw.Control(func(fd uintptr) { // an error is that of a closed connection
 		n, ok := unreadBytes(int(fd))
 		waits = ok && n > 0
 	})
@@ -85,12 +104,11 @@
 // answerCame says whether some of an answer has come to a request that was written at a time, read or
 // not, by the kernel's word.
 func (c *conn) answerCame(wrote time.Time) bool {
-	raw := rawConn(c.Conn)
-	if raw == nil {
+	if c.raw == nil {
 		return false
 	}
 	came := false
-	raw.Control(func(fd uintptr) { // an error is that of a closed connection
+	c.raw.Control(func(fd uintptr) { // an error is that of a closed connection
 		age, ok := dataAge(int(fd))
 		came = ok && time.Now().Add(-age).After(wrote)
 	})
@@ -101,12 +119,11 @@
 // just been read: how long it waited unread is not the server's time. 0 says that it did not wait.
 func (c *conn) answeredAfter(began, wrote time.Time) time.Duration {
 	now := time.Now()
-	raw := rawConn(c.Conn)
-	if raw == nil || now.Sub(wrote) <= kernelTick {
+	if c.raw == nil || now.Sub(wrote) <= kernelTick {
 		return 0
 	}
 	took := time.Duration(0)
-	raw.Control(func(fd uintptr) { // an error is that of a closed connection
+	c.raw.Control(func(fd uintptr) { // an error is that of a closed connection
 		if age, ok := dataAge(int(fd)); ok && age > kernelTick {
 			took = max(now.Add(-age).Sub(began), wrote.Sub(began), 1)
 		}
--- a/internal/gateway/watchconn.go
+++ b/internal/gateway/watchconn.go
@@ -14,41 +14,31 @@
 type watchConn struct {
 	net.Conn
 	raw     syscall.RawConn // of Conn; nil where there is none, as in tests without sockets
-	inForce func()          // returns once all that has gone to the loop is in force
+	reader  connReader
+	look    func(fd uintptr) // of overdue
+	inForce func()           // returns once all that has gone to the loop is in force
 
 	mu     sync.Mutex
 	late   int       // reads of what had waited for long
 	heeded int       // ... of which all is in force
 	readAt time.Time // something was read last
 	closed bool
+	waited bool // what look has found
 }
 
 func newWatchConn(c net.Conn, inForce func()) *watchConn {
-	return &watchConn{Conn: c, raw: rawConn(c), inForce: inForce}
+	w := &watchConn{Conn: c, raw: rawConn(c), inForce: inForce}
+	w.reader.init(w.raw, w.readNow)
+	w.look = func(fd uintptr) { w.waited = waitedLong(int(fd)) }
+	return w
 }
 
-// Read reads, and looks how long what it reads has waited in one step under c.mu.
+// Read reads what has come.
 func (c *watchConn) Read(p []byte) (int, error) {
 	if c.raw == nil {
 		return c.Conn.Read(p)
 	}
-	n, err := readWhenReady(c.raw, func(fd int) (int, bool, error) {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		waited := waitedLong(fd)
-		n, err := retryInterrupted(func() (int, error) { return syscall.Read(fd, p) })
-		if err == syscall.EAGAIN {
-			c.handedOn()
-			return 0, false, nil
-		}
-		if n > 0 {
-			c.readAt = time.Now()
-		}
-		if waited && n > 0 {
-			c.late++
-		}
-		return n, true, err
-	})
+	n, err := c.reader.read(p)
 	var call syscall.Errno
 	switch {
 	case errors.As(err, &call):
@@ -61,6 +51,25 @@
 	return n, nil
 }
 
+// readNow reads what there is, and looks how long that has waited in one step under c.mu.
+func (c *watchConn) readNow(fd int, p []byte, _ *time.Time) (n int, done bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waited := waitedLong(fd)
+	n, err = retryInterrupted(func() (int, error) { return syscall.Read(fd, p) })
+	if err == syscall.EAGAIN {
+		c.handedOn()
+		return 0, false, nil
+	}
+	if n > 0 {
+		c.readAt = time.Now()
+	}
+	if waited && n > 0 {
+		c.late++
+	}
+	return n, true, err
+}
+
 // handedOn notes that all that was read has gone to the loop; c.mu is held.
 func (c *watchConn) handedOn() {
 	if c.late == c.heeded {
@@ -84,14 +93,18 @@
 }
 
 // overdue says whether something has come long ago that is not in force yet.
-func (c *watchConn) overdue() (overdue bool) {
+func (c *watchConn) overdue() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.raw == nil || c.closed {
 		return false
 	}
-	c.raw.Control(func(fd uintptr) { overdue = c.late > c.heeded || waitedLong(int(fd)) }) // an error is that of a closed connection
-	return overdue
+	if c.late > c.heeded {
+		return true
+	}
+	c.waited = false
+	c.raw.Control(c.look) // an error is that of a closed connection
+	return c.waited
 }
 
 // hasNews says whether something has come that nobody has read, or that was read just now.
