Presume nothing of a backlog that cannot be looked at

Cause: the listener that lets accepts fail hides its socket, and backlog.look took what it could not see for seen empty. Ruled out: the kernel's word itself (the connection is a real one, and the same crowd at a gateway without faults is told right) and a hold-up of the soak (none was noted).

Change: what cannot be seen is presumed for the wake-up alone, and not noted. The soak's listener gives access to its socket.

Measured: TestTimeRunsInABacklogThatCannotBeSeen, red before, passes 5 of 5 with the race detector.

--- a/internal/faultnet/inject.go
+++ b/internal/faultnet/inject.go
@@ -50,6 +50,15 @@
 	inject *Injector
 }
 
+// SyscallConn gives access to the socket: who looks at it is not kept from that.
+func (l *injectedListener) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, syscall.EOPNOTSUPP
+	}
+	return sc.SyscallConn()
+}
+
 func (l *injectedListener) Accept() (net.Conn, error) {
 	if errno, fails := l.inject.draw(AcceptErrors); fails {
 		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: os.NewSyscallError("accept4", errno)}
--- a/internal/gateway/arrival.go
+++ b/internal/gateway/arrival.go
@@ -176,17 +176,18 @@
 	return queuedConn{c, arrival{absent: l.queue.absent, came: l.queue.came}}, nil
 }
 
-// look says whether no connection waits, and notes it.
+// look says whether no connection waits, and notes it. Where that cannot be seen it is presumed, as
+// whoever accepts is woken, but not noted: the kernel may know better of each connection.
 func (l *backlog) look() (empty bool) {
-	now := time.Now()
-	empty = l.raw == nil
-	if l.raw != nil {
-		l.raw.Control(func(fd uintptr) {
-			fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-			n, err := retryInterrupted(func() (int, error) { return unix.Poll(fds, 0) })
-			empty = err == nil && n == 0
-		})
+	if l.raw == nil {
+		return true
 	}
+	now := time.Now()
+	l.raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := retryInterrupted(func() (int, error) { return unix.Poll(fds, 0) })
+		empty = err == nil && n == 0
+	})
 	if empty {
 		l.mu.Lock()
 		defer l.mu.Unlock()
