Test that the audit counts from the last byte, and two rules of the soak's judge

timeouts_over_left did not move at any fault of unread time; the test states what it has to count. The judge's rules on the gateways' own counters and on processes that do not start had no planted break.

--- a/internal/fleetlab/soak_test.go
+++ b/internal/fleetlab/soak_test.go
@@ -146,6 +146,14 @@
 		{"a crash", "crash", func(l *ledger, _ *soakOp) {
 			l.deaths = append(l.deaths, death{gateway: "g00", life: 1, ended: at(30), code: 2})
 		}},
+		{"a counter of its own that moved", "audit", func(l *ledger, _ *soakOp) {
+			log := filepath.Join(t.TempDir(), "g00.1.log")
+			os.WriteFile(log, []byte("msg=stopped sent_after_notification=0 timeouts_over_left=2\n"), 0o600)
+			l.deaths = append(l.deaths, death{gateway: "g00", life: 1, term: at(30), ended: at(31), log: log})
+		}},
+		{"a process that does not start", "start", func(l *ledger, _ *soakOp) {
+			l.failures = append(l.failures, "g05 (life 2) is not ready")
+		}},
 		{"no end in time", "end", func(l *ledger, _ *soakOp) {
 			l.deaths = append(l.deaths, death{gateway: "g00", life: 1, term: at(30), kill: at(34), ended: at(34)})
 		}},
--- a/internal/gateway/arrival_test.go
+++ b/internal/gateway/arrival_test.go
@@ -269,6 +269,24 @@
 	toldNoMoreThanLeft(t, <-seen, sent, timeout)
 }
 
+// The audit counts a server that is told too much from the request's last byte, whatever deadline the
+// request was given: it did not move at any of the faults above, as it counted from the same wrong
+// moment as they did.
+func TestAuditCountsFromTheLastByte(t *testing.T) {
+	const waited, left = time.Second, 2 * time.Second
+	now := time.Now()
+	whole := &requestHead{whole: now.Add(-waited)}
+	for stated, breaks := range map[time.Duration]int64{left: 1, left - waited: 0, left - waited + toldSlack/2: 0} {
+		var audit Audit
+		x := newExchange("")
+		x.from, x.head, x.left, x.deadline = &framedConn{}, whole, left, now.Add(stated)
+		audit.sent(&host{}, x, now, stated, time.Second)
+		if n := audit.Figures().TimeoutsOver; n != breaks {
+			t.Errorf("%v stated where %v are left: %d breaks counted, want %d", stated, left-waited, n, breaks)
+		}
+	}
+}
+
 // hiddenListener is a listener whose socket cannot be looked at.
 type hiddenListener struct{ net.Listener }
 
