Look at each connection once to make room, not once for every one that may not go

Cause: evict in conns.go. Peers that stop within their second request rest by net/http's word and are the first to go, but a part of a request keeps them from being closed. Ruled out: slots (none was waited for), the pauses after failed accepts (four in 3 s), a hold-up of the process (other work went on) and the kernel's queue.

Change: one pass gathers those that may go, sorts them, and closes the first that can be. It holds because a connection that may not be closed now costs one look.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -62,7 +63,9 @@
 	default:
 		closed = framed.closeWithoutBody()
 	}
-	slog.Debug("client's connection to be closed", "peer", c.RemoteAddr(), "why", why.String(), "closed", closed)
+	if closed {
+		slog.Debug("client's connection closed to make room", "peer", c.RemoteAddr(), "why", why.String())
+	}
 	return closed
 }
 
@@ -171,32 +174,40 @@
 }
 
 // evict closes the connection that was idle longest or, with none idle, one that has brought
-// no whole request for long; s.mu is held.
+// no whole request for long; s.mu is held. It looks at each connection once: many may rest with
+// a part of a request, which none of them is closed for here.
 func (s *Server) evict() {
-	spared := map[net.Conn]bool{} // more has come in than was told
-	for {
-		var out net.Conn
-		first := roomNone
-		for c, cs := range s.conns {
-			room := cs.room()
-			if room == roomNone || spared[c] {
-				continue
-			}
-			if out == nil || room < first || room == first && cs.since.Before(s.conns[out].since) {
-				out, first = c, room
-			}
+	s.candidates = s.candidates[:0]
+	for c, cs := range s.conns {
+		if room := cs.room(); room != roomNone {
+			s.candidates = append(s.candidates, candidate{c, room, cs.since})
 		}
-		switch {
-		case out == nil:
-			return
-		case closeFor(out, first):
-			delete(s.conns, out)
+	}
+	defer clear(s.candidates) // what is closed goes
+	slices.SortFunc(s.candidates, candidate.compare)
+	for _, next := range s.candidates {
+		if closeFor(next.conn, next.room) {
+			delete(s.conns, next.conn)
 			return
 		}
-		spared[out] = true
 	}
 }
 
+// candidate is a connection that may make room.
+type candidate struct {
+	conn  net.Conn
+	room  room
+	since time.Time
+}
+
+// compare orders candidates, the first to go first.
+func (a candidate) compare(b candidate) int {
+	if a.room != b.room {
+		return int(a.room - b.room)
+	}
+	return a.since.Compare(b.since)
+}
+
 // reading notes that the body of a request is being read, or has been, and says whether its
 // connection is still there: what was evicted is not sent on.
 func (s *Server) reading(r *http.Request, on bool) bool {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -59,6 +59,8 @@
 	conns   map[net.Conn]connState
 	slots   chan struct{} // one for each connection that is open
 	leaving bool          // no connection stays for another request
+
+	candidates []candidate // of evict
 }
 
 // NewServer returns a Server that hands requests to loop.
