--- a/internal/fleetlab/soak_ends.go
+++ b/internal/fleetlab/soak_ends.go
@@ -99,9 +99,7 @@
 // heldUpAtTheEnd stops the process for up to 0.15 s at a time while it ends.
 func (g *soakGateway) heldUpAtTheEnd(ended <-chan struct{}) {
 	for range 4 {
-		g.signal(syscall.SIGSTOP)
-		time.Sleep(140 * time.Millisecond)
-		g.signal(syscall.SIGCONT)
+		g.holdUp(holdUpTime)
 		select {
 		case <-ended:
 			return
--- a/internal/fleetlab/soak_fleet.go
+++ b/internal/fleetlab/soak_fleet.go
@@ -214,6 +214,19 @@
 	}
 }
 
+// holdUp stops the process for a time, the same one however many come after it.
+func (g *soakGateway) holdUp(d time.Duration) {
+	g.mu.Lock()
+	proc := g.proc
+	g.mu.Unlock()
+	if proc == nil {
+		return
+	}
+	proc.Stop()
+	time.Sleep(d)
+	proc.Cont()
+}
+
 // reload changes the settings and signals that.
 func (g *soakGateway) reload() {
 	g.mu.Lock()
--- a/internal/fleetlab/soak_plan.go
+++ b/internal/fleetlab/soak_plan.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"syscall"
 	"time"
 
 	"lynxspool/internal/faultnet"
@@ -189,12 +188,13 @@
 	}}
 }
 
-// holdUp stops a process for up to 0.15 s, again and again.
+// holdUpTime is how long a process is stopped at a time; the pages name up to 0.15 s.
+const holdUpTime = 140 * time.Millisecond
+
+// holdUp stops a process again and again.
 func (s *soak) holdUp(g *soakGateway, t *trouble) {
 	for end := s.now() + t.last; s.now() < end; {
-		g.signal(syscall.SIGSTOP)
-		s.sleep(s.now() + 140*time.Millisecond)
-		g.signal(syscall.SIGCONT)
+		g.holdUp(holdUpTime)
 		s.sleep(s.now() + 200*time.Millisecond)
 	}
 }
