Close the shared sockets of a soak's gateways, and shorten a line of the policy

TestPolicyStaysReadable: a comment of asking.go grew to 120 characters by a rename, 110 are allowed.

--- a/asking.go
+++ b/asking.go
@@ -4,7 +4,8 @@
 // must not swamp it with calls, and yet hear of each change by the clock of notifications.
 
 const (
-	NotifiedAfter = Time(6e9)         // a change counts as notified so long after discovery had it and could be reached
+	// NotifiedAfter counts from when discovery had a change and could be reached: it is notified then.
+	NotifiedAfter = Time(6e9)
 	SilentAfter   = NotifiedAfter / 2 // a watch without a line (one is due every 2 s), or a call, has failed
 	AskMost       = NotifiedAfter / 2 // wait for the next call at the most, whatever Instances and AskWithin
 
--- a/internal/fleetlab/soak.go
+++ b/internal/fleetlab/soak.go
@@ -225,6 +225,11 @@
 		go func() { defer ends.Done(); g.kill() }()
 	}
 	ends.Wait()
+	for _, g := range s.gateways {
+		if g.socket != nil {
+			g.socket.Close()
+		}
+	}
 	if s.list != nil {
 		s.list.close()
 	}
