Review case 3: a catalog that stood still gives an old list as current

Need: a failing test for a fault found in review: StaleReason takes contact with a leader for a current list, while raft sends entries up to 10 s later.

The case stops a follower of three catalogs for 37 s and drains a host meanwhile.

Nothing is mended.

--- a/review/cmd/case3/main.go
+++ b/review/cmd/case3/main.go
@@ -1,14 +1,12 @@
-// Command case3: a gateway is told to end while it passes on long answers that their hosts still give.
+// Command case3: the machine of one of three instances of discovery stands still for a while, and a host
+// begins to drain meanwhile.
 package main
 
 import (
-	"bufio"
 	"errors"
-	"fmt"
-	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -17,114 +15,155 @@
 )
 
 const (
-	gateways = 3
+	gateways = 3 // one for each instance of discovery
 	hosts    = 9
-	pieces   = 80                     // pieces of a long answer
-	piece    = 16 << 10               // bytes of a piece: 1.3 MB in all
-	pause    = 100 * time.Millisecond // between two pieces: a long answer takes 8 s
-	longs    = 6                      // long answers under way at the gateway that is told to end
-	termAt   = 1500 * time.Millisecond
-	killAt   = 20 * time.Second // from SIGTERM to SIGKILL; the page allows it from 3.7 s on
+	rate     = 170.0 // requests a second of all clients
+	quiet    = 3 * time.Second
+	outage   = 37 * time.Second // for which the instance stands still
+	drainAt  = 30 * time.Second // from the start of the outage to the drain
+	writes   = 500 * time.Millisecond
+	after    = 14 * time.Second // from the end of the outage to the end of the run
+
+	// A change counts as told at the latest 6 s after discovery had it and could be reached, and sends have
+	// to stop 1 s later. Each time limit is 50 ms longer on sockets.
+	told  = 6*time.Second + 50*time.Millisecond
+	grace = time.Second + 50*time.Millisecond
 )
 
 func main() { rig.Run(run) }
 
 func run(c *rig.Case) (int, error) {
+	var mu sync.Mutex
+	var drained string           // host that drains
+	var drainedAt time.Time      // when discovery confirmed it
+	var reachableAt time.Time    // when the instance went on
+	var late int                 // sends to it after the limit
+	var latest time.Duration     // of them, after the instance went on
+	viaOf := map[string]string{} // gateway that a request was sent to
 	serve := func(h *rig.Host, conn net.Conn, r *http.Request, body []byte) bool {
 		id := r.Header.Get("X-Request-ID")
-		h.Work(20*time.Millisecond, 30*time.Millisecond)
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", pieces*piece)
-		text := strings.Repeat(id, piece/len(id))
-		for i := range pieces {
-			if _, err := io.WriteString(conn, text); err != nil {
-				c.Rec.Add("host %s: the gateway takes no more of the answer to %s after piece %d of %d: %v", h.ID, id, i, pieces, err)
-				return false
+		now := time.Now()
+		mu.Lock()
+		if h.ID == drained && !reachableAt.IsZero() {
+			since := now.Sub(reachableAt)
+			c.Rec.Add("host %s drains and gets %s through %s, %v after its drain was confirmed, %v after the instance went on",
+				h.ID, id, viaOf[id], now.Sub(drainedAt).Round(time.Millisecond), since.Round(time.Millisecond))
+			if since > told+grace {
+				late++
+				latest = since
 			}
-			time.Sleep(pause)
 		}
-		c.Rec.Add("host %s has given the whole answer to %s", h.ID, id)
-		return true
+		mu.Unlock()
+		h.Work(time.Duration(16+rand.IntN(20))*time.Millisecond, time.Duration(30+rand.IntN(30))*time.Millisecond)
+		return rig.Answer(conn, "done "+id)
+	}
+	if err := c.StartCatalogs(3); err != nil {
+		return 0, err
 	}
 	_, discovery, err := c.StartHosts(hosts, serve)
 	if err != nil {
 		return 0, err
 	}
+	var still *rig.Catalog // a follower, which stands still
+	var others []*rig.Catalog
+	for _, k := range c.Catalogs {
+		if still == nil && k.State() == "Follower" {
+			still = k
+		} else {
+			others = append(others, k)
+		}
+	}
+	if still == nil {
+		return 0, errors.New("discovery has no follower")
+	}
+	whole := discovery.Whole()
+	for _, e := range whole.Servers {
+		if err := others[0].Put(e); err != nil {
+			return 0, err
+		}
+	}
 	classes := []string{"search", "save-address", "issue-code"}
-	if err := c.StartGateways(gateways, discovery, func() map[string]any { return rig.Settings(gateways, classes...) }); err != nil {
-		return 0, err
+	for i, k := range append([]*rig.Catalog{still}, others...) {
+		known := whole
+		known.Version = 0
+		if err := c.StartGatewayAt(i, k.HTTP, known, rig.Settings(gateways, classes...)); err != nil {
+			return 0, err
+		}
 	}
-	g := c.Gateways[0]
+	clients := rig.NewClients(c.Rec)
 	var requests sync.WaitGroup
-	var mu sync.Mutex
-	whole, cut, other := 0, 0, 0
-	for range longs {
-		requests.Add(1)
-		go func() {
-			defer requests.Done()
+	stop := make(chan struct{})
+	requests.Add(1)
+	go func() {
+		defer requests.Done()
+		for next := time.Now(); ; next = next.Add(time.Duration(rand.ExpFloat64() / rate * float64(time.Second))) {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Until(next)):
+			}
+			g := c.Gateways[rand.IntN(gateways)]
 			q := rig.DrawRequest()
-			got, err := fetch(c, g, q)
 			mu.Lock()
-			defer mu.Unlock()
-			switch {
-			case err == nil:
-				whole++
-				c.Rec.Say("client: %s has its whole answer", q.ID)
-			case got > 0:
-				cut++
-				c.Rec.Say("client: the answer to %s (class %s) was cut off after %d of %d bytes: %v", q.ID, q.Class, got, pieces*piece, err)
-			default:
-				other++
-				c.Rec.Say("client: no answer to %s: %v", q.ID, err)
+			viaOf[q.ID] = g.Name
+			mu.Unlock()
+			requests.Add(1)
+			go func() {
+				defer requests.Done()
+				res := clients.Do(g.Addr, q)
+				c.Rec.Add("client: %s has status %d after %v, error %v", q.ID, res.Status, res.Took.Round(time.Millisecond), res.Err)
+			}()
+		}
+	}()
+	time.Sleep(quiet)
+	began := time.Now()
+	if c.Trouble {
+		c.Rec.Say("platform: the machine of %s, an instance of discovery, stands still", still.ID)
+		still.Signal(syscall.SIGSTOP)
+	}
+	for n := 0; time.Since(began) < outage; n++ {
+		// Entries of other hosts are written again, as hosts that register do.
+		if err := others[0].Put(whole.Servers[1+n%(hosts-1)]); err != nil {
+			c.Rec.Add("platform: write not confirmed: %v", err)
+		}
+		mu.Lock()
+		begun := drained != ""
+		mu.Unlock()
+		if !begun && time.Since(began) >= drainAt {
+			e := whole.Servers[0]
+			e.State = "draining"
+			if err := others[0].Put(e); err != nil {
+				return 0, err
 			}
-		}()
+			mu.Lock()
+			drained, drainedAt = e.ID, time.Now()
+			mu.Unlock()
+			c.Rec.Say("platform: discovery has confirmed that %s drains", e.ID)
+		}
+		time.Sleep(writes)
 	}
-	time.Sleep(termAt)
-	endedBy := "itself"
-	if c.Trouble {
-		c.Rec.Say("platform: SIGTERM to %s", g.Name)
-		term := time.Now()
-		g.Signal(syscall.SIGTERM)
-		select {
-		case <-g.Ended():
-			c.Rec.Say("platform: %s has ended by itself %.2f s after SIGTERM", g.Name, time.Since(term).Seconds())
-		case <-time.After(killAt):
-			c.Rec.Say("platform: SIGKILL to %s", g.Name)
-			g.Kill()
-			endedBy = "SIGKILL"
+	still.Signal(syscall.SIGCONT)
+	mu.Lock()
+	reachableAt = time.Now()
+	mu.Unlock()
+	c.Rec.Say("platform: %s goes on, %.1f s after the drain was confirmed", still.ID, time.Since(drainedAt).Seconds())
+	stale := time.Duration(0)
+	for time.Since(reachableAt) < after {
+		if l, err := still.List(); err == nil {
+			for _, e := range l.Servers {
+				if e.ID == drained && e.State != "draining" {
+					stale = time.Since(reachableAt)
+				}
+			}
 		}
+		time.Sleep(20 * time.Millisecond)
 	}
+	close(stop)
 	requests.Wait()
-	c.Rec.Say("%d long answers whole, %d cut off, %d other; end of the gateway: %s", whole, cut, other, endedBy)
-	switch {
-	case other > 0 || endedBy == "SIGKILL":
-		return 0, errors.New("the run was not as planned")
-	case cut > 0:
+	c.Rec.Say("%s gave lists that say %s is ready for %.2f s after it went on", still.ID, drained, stale.Seconds())
+	c.Rec.Say("%d requests sent to %s later than %v after it went on, the last %.2f s after", late, drained, told+grace, latest.Seconds())
+	if late > 0 {
 		return rig.RuleBroken, nil
 	}
 	return rig.RuleHeld, nil
 }
-
-// fetch sends a request on a new connection and reads its answer. It returns how much of the body came.
-func fetch(c *rig.Case, g *rig.Gateway, q *rig.Request) (got int, err error) {
-	conn, err := net.DialTimeout("tcp", g.Addr, time.Second)
-	if err != nil {
-		return 0, err
-	}
-	defer conn.Close()
-	c.Rec.Add("client sends %s class %s to %s", q.ID, q.Class, g.Name)
-	sent := time.Now()
-	if _, err := io.WriteString(conn, q.Text()); err != nil {
-		return 0, err
-	}
-	conn.SetReadDeadline(time.Now().Add(40 * time.Second))
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return 0, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return 0, errors.New(resp.Status)
-	}
-	c.Rec.Add("client: the answer to %s has begun after %v", q.ID, time.Since(sent).Round(time.Millisecond))
-	n, err := io.Copy(io.Discard, resp.Body)
-	return int(n), err
-}
--- a/review/rig/run.go
+++ b/review/rig/run.go
@@ -13,6 +13,7 @@
 	Rec      *Record
 	Trouble  bool // false with TROUBLE=0: the same without the disruption
 	Gateways []*Gateway
+	Catalogs []*Catalog
 }
 
 // Exit codes of a case.
@@ -56,6 +57,9 @@
 		for _, g := range c.Gateways {
 			g.Kill()
 		}
+		for _, k := range c.Catalogs {
+			k.Kill()
+		}
 	}()
 	code, err := run(c)
 	if err != nil {
@@ -69,17 +73,25 @@
 func (c *Case) StartGateways(n int, d *Discovery, settings func() map[string]any) error {
 	for i := range n {
 		s := settings()
-		s["rank"] = i
-		g, err := StartGateway(c.Root, c.Dir, fmt.Sprintf("n%d", i+1), d.Addr, d.Whole(), s)
-		if err != nil {
+		if err := c.StartGatewayAt(i, d.Addr, d.Whole(), s); err != nil {
 			return err
 		}
-		c.Rec.Add("platform: %s is ready at %s", g.Name, g.Addr)
-		c.Gateways = append(c.Gateways, g)
 	}
 	return nil
 }
 
+// StartGatewayAt starts a gateway of a rank whose discovery is at an address.
+func (c *Case) StartGatewayAt(rank int, discovery string, known List, settings map[string]any) error {
+	settings["rank"] = rank
+	g, err := StartGateway(c.Root, c.Dir, fmt.Sprintf("n%d", rank+1), discovery, known, settings)
+	if err != nil {
+		return err
+	}
+	c.Rec.Add("platform: %s is ready at %s", g.Name, g.Addr)
+	c.Gateways = append(c.Gateways, g)
+	return nil
+}
+
 // StartHosts starts n hosts and discovery, which lists them in the zones of the settings in turn.
 func (c *Case) StartHosts(n int, serve ServeFunc) ([]*Host, *Discovery, error) {
 	zones := []string{"ulaanbaatar", "darkhan", "erdenet"}
