--- a/review/cmd/case1/main.go
+++ b/review/cmd/case1/main.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,7 +28,8 @@
 
 func run(c *rig.Case) (int, error) {
 	var mu sync.Mutex
-	served := map[string]bool{} // ids that a host has run
+	served := map[string]bool{}  // ids that a host has run
+	doubled := map[string]bool{} // ids whose answer a host has sent twice
 	serve := func(h *rig.Host, conn net.Conn, r *http.Request, body []byte) bool {
 		id := r.Header.Get("X-Request-ID")
 		h.Work(time.Duration(16+rand.IntN(20))*time.Millisecond, time.Duration(30+rand.IntN(30))*time.Millisecond)
@@ -38,6 +40,9 @@
 			return false
 		}
 		if c.Trouble && rand.Float64() < spoilt {
+			mu.Lock()
+			doubled[id] = true
+			mu.Unlock()
 			late := minLate + rand.N(maxLate-minLate)
 			time.Sleep(late)
 			c.Rec.Add("host %s sends a second answer to %s, %v after the first", h.ID, id, late)
@@ -55,7 +60,7 @@
 	}
 	clients := rig.NewClients(c.Rec)
 	var requests sync.WaitGroup
-	var answered, foreign, neverRun int
+	var answered, foreign, neverRun, passedDown int
 	end := time.Now().Add(length)
 	for next := time.Now(); next.Before(end); next = next.Add(time.Duration(rand.ExpFloat64() / rate * float64(time.Second))) {
 		time.Sleep(time.Until(next))
@@ -74,6 +79,9 @@
 			answered++
 			if res.Body != "done "+q.ID {
 				foreign++
+				if !doubled[strings.TrimPrefix(res.Body, "done ")] {
+					passedDown++ // the only answer to an earlier request, whose client had got another one
+				}
 				if !served[q.ID] {
 					neverRun++
 				}
@@ -83,7 +91,8 @@
 		}()
 	}
 	requests.Wait()
-	c.Rec.Say("%d requests served, %d of them with the answer to another request, %d of these before a host had run them", answered, foreign, neverRun)
+	c.Rec.Say("%d requests served, %d of them with the answer to another request, %d of these before a host had run them; %d of the answers had been given only once",
+		answered, foreign, neverRun, passedDown)
 	switch {
 	case answered == 0:
 		return 0, errors.New("nothing was served")
