Keep the queue of a request in flight valid when new settings change the classes

Cause: a request held the index of its queue. UpdateSettings laid the queues out anew and gave new indices only to requests that waited. One in flight kept the old index, and was queued there when its attempt failed: beyond the end, or in the queue of another class. The send rate limit reads the same index.

Evidence: a trace in a scratch copy. Request 137 of class search, which stays, came 115 ms before the settings; then 4 queues of 12 were left, and after its one attempt it was put into queue 4 of 4. Requests that waited at the change, or came later, had indices 0 to 3. Ruled out: requests that come with an old class (the stack has Outcome, not Request), those that wait, and request objects that are used again.

Why this holds: no request has an index. Its class has the queues, and an open request keeps its class; a class that goes keeps its queues, in their place by priority, until its last request has ended. A class that stays with the same rules goes on as it is. Nothing is moved at a change, whatever state a request is in.

Tests: TestRequestInFlightIsQueuedUnderNewSettings and FuzzRules with changes of settings failed on the code before: index 6 with length 4, 16 with length 12; with a class added, "book" was sent before "new urgent".

--- a/balancer.go
+++ b/balancer.go
@@ -95,11 +95,11 @@
 	r := b.newRequest()
 	r.Request = q
 	r.class = b.classes[q.Class]
+	r.class.openRequests++
 	r.maxAttempts = b.settings.MaxAttempts
 	r.arrived = b.now - max(q.Age, 0)
 	r.deadline = b.now + min(max(q.Remaining, 0), r.class.Deadline)
 	r.flags = b.queueFlags(r)
-	r.queueIndex = r.class.queues[r.flags]
 	b.requests[q.ID] = r
 	return r
 }
--- a/fuzz_test.go
+++ b/fuzz_test.go
@@ -1,20 +1,30 @@
 package bramblelock
 
 import (
+	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 )
 
+// settingsChange is the byte of a history that says, if it is odd, that settings change on the way.
+const settingsChange = 7
+
 // FuzzRules plays random valid histories of events and checks the four rules after each event:
 // every request gets one answer in time and no attempt after it, no request takes effect twice,
-// hosts that are draining or gone get no attempts, and no cold host gets more than its budget.
+// hosts that are draining or gone get no attempts, and no cold host gets more than its budget. Requests
+// keep the rules under which they came when settings drop, add or redefine classes: a gateway ended when
+// one that was in flight had to be queued after its class was dropped.
 func FuzzRules(f *testing.F) {
 	for seed := range int64(24) {
 		r := rand.New(rand.NewSource(seed))
 		data := make([]byte, 1200)
 		r.Read(data)
+		data[settingsChange] &^= 1
+		f.Add(slices.Clone(data))
+		data[settingsChange] |= 1
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -35,10 +45,11 @@
 
 // requestRecord is a request as the test has seen it, with its attempts.
 type requestRecord struct {
-	class    *Class
-	deadline Time
-	answered bool
-	attempts []attemptRecord
+	class       *Class
+	maxAttempts int
+	deadline    Time
+	answered    bool
+	attempts    []attemptRecord
 }
 
 // history drives a Balancer with a sequence of events and records what it does.
@@ -46,6 +57,7 @@
 	*testing.T
 	b             *Balancer
 	set           Settings
+	classes       []Class // from which settings that change take theirs
 	now           Time
 	timers        []Action
 	nextID        RequestID
@@ -71,7 +83,7 @@
 		OverQuotaFactor: 0.1, Tenants: []Tenant{{Quota: 5}, {}},
 	}
 	for i := range 5 {
-		class := Class{LatencyTarget: Time(100+50*i) * ms, Deadline: Time(400+100*i) * ms, PriorityWeight: float64(1 + i),
+		class := Class{Name: fmt.Sprint("class ", i), LatencyTarget: Time(100+50*i) * ms, Deadline: Time(400+100*i) * ms, PriorityWeight: float64(1 + i),
 			DedupWindow: Time(config[4]) * 2 * ms}
 		if i > 0 {
 			class.Effect, class.DedupScope = Deduplicated, DedupScope(i-1)
@@ -81,6 +93,9 @@
 		}
 		h.set.Classes = append(h.set.Classes, class)
 	}
+	if config[settingsChange]&1 == 1 {
+		h.classes = h.set.Classes
+	}
 	b, err := New(h.set, uint64(config[5]))
 	if err != nil {
 		t.Fatal(err)
@@ -103,15 +118,17 @@
 func (h *history) play(data []byte) {
 	for ; len(data) >= 2; data = data[2:] {
 		arg := int(data[1])
-		switch data[0] % 10 {
-		case 0, 1, 2:
+		switch kind := data[0] % 10; {
+		case kind <= 2:
 			h.request(arg)
-		case 3, 4, 5:
+		case kind <= 5:
 			h.endAttempt(arg, Result(data[0]/10%9))
-		case 6:
+		case kind == 6:
 			h.changeHost(arg, data[0])
-		case 7:
+		case kind == 7:
 			h.dropClient(arg)
+		case kind == 8 && h.classes != nil && data[0]/10%4 == 0:
+			h.changeSettings(int64(arg))
 		default:
 			h.advance(Time(arg) * ms / 4)
 		}
@@ -125,8 +142,9 @@
 			h.reportOutcome(id, n, Canceled)
 		}
 	}
-	if len(h.b.requests) != 0 || h.b.queued != 0 {
-		h.Fatalf("%d requests kept, %d queued, after all have ended", len(h.b.requests), h.b.queued)
+	if len(h.b.requests) != 0 || h.b.queued != 0 || len(h.b.retiredClasses) != 0 {
+		h.Fatalf("%d requests kept, %d queued, %d classes retired, after all have ended",
+			len(h.b.requests), h.b.queued, len(h.b.retiredClasses))
 	}
 	for _, host := range h.b.hosts {
 		if host.pending != 0 || host.pendingList.head != nil {
@@ -137,11 +155,31 @@
 
 func (h *history) request(arg int) {
 	h.nextID++
-	class := &h.set.Classes[arg%5]
+	index := arg % len(h.set.Classes)
+	class := &h.set.Classes[index]
 	remaining := class.Deadline * Time(arg/5) / 50
-	h.requests[h.nextID] = &requestRecord{class: class, deadline: h.now + remaining}
+	h.requests[h.nextID] = &requestRecord{class: class, maxAttempts: h.set.MaxAttempts, deadline: h.now + remaining}
 	h.openRequests = append(h.openRequests, h.nextID)
-	h.b.Request(h.now, Request{ID: h.nextID, Class: arg % 5, Tenant: arg & 1, Remaining: remaining, ClientRetry: arg&2 != 0})
+	h.b.Request(h.now, Request{ID: h.nextID, Class: index, Tenant: arg & 1, Remaining: remaining, ClientRetry: arg&2 != 0})
+	h.carryOutActions()
+}
+
+// changeSettings puts some of the classes into force, in any order and some with another effect, and another
+// number of attempts.
+func (h *history) changeSettings(seed int64) {
+	r := rand.New(rand.NewSource(seed))
+	h.set.MaxAttempts = 1 + r.Intn(4)
+	h.set.Classes = nil
+	for _, i := range r.Perm(len(h.classes))[r.Intn(len(h.classes)):] {
+		class := h.classes[i]
+		if r.Intn(4) == 0 {
+			class.Effect = Effect(r.Intn(3))
+		}
+		h.set.Classes = append(h.set.Classes, class)
+	}
+	if err := h.b.UpdateSettings(h.now, h.set); err != nil {
+		h.Fatal(err)
+	}
 	h.carryOutActions()
 }
 
@@ -292,8 +330,8 @@
 	if host.State != Ready {
 		h.Fatalf("sent to host %d, state %d", host.ID, host.State)
 	}
-	if len(r.attempts) >= h.set.MaxAttempts {
-		h.Fatalf("request %d has more than %d attempts", a.Request, h.set.MaxAttempts)
+	if len(r.attempts) >= r.maxAttempts {
+		h.Fatalf("request %d has more than %d attempts", a.Request, r.maxAttempts)
 	}
 	if r.inFlight() > 0 {
 		h.Fatalf("request %d has two attempts at once", a.Request)
--- a/queue.go
+++ b/queue.go
@@ -2,7 +2,10 @@
 
 // Queues of requests for which no host is ready, by priority, and how long a request may wait there.
 
-import "sort"
+import (
+	"cmp"
+	"slices"
+)
 
 const (
 	retryFactor = 0.5 // priority factor of a client's retry: it may be answered too late
@@ -11,43 +14,56 @@
 
 // requestQueues is the state of the queues.
 type requestQueues struct {
-	queues     []list[request] // queued requests, by falling priority
-	priorities []float64       // priorities of the queues
-	queued     int             // requests in all queues
+	queues         []*queue // in the order in which they are served
+	queued         int      // requests in all queues
+	retiredClasses []*class // classes that only former settings have, with open requests; the oldest first
+}
+
+// queue is a queue of the requests of one class that have the same queue flags.
+type queue struct {
+	list[request]
+	class    *class
+	priority float64
+	position int // index in requestQueues.queues
 }
 
-// orderQueues lays out the queues by priority: each class has one for requests within quota and one
-// for those beyond it, and two more for client retries. Of equal priorities, the class with the
-// shorter latency target is served first.
+// queue returns the queue in which the request waits whenever no host is ready.
+func (r *request) queue() *queue { return &r.class.queues[r.flags] }
+
+// orderQueues puts the queues in order by priority: each class has one for requests within quota and
+// one for those beyond it, and two more for client retries. Of equal priorities, the class with the
+// shorter latency target is served first. Retired classes are served as the others: their open requests
+// may have to be queued whenever an attempt fails.
 func (b *Balancer) orderQueues() {
-	type queueKey struct {
-		class    *class
-		flags    int
-		priority float64
-	}
-	var keys []queueKey
-	for _, c := range b.classes {
-		for flags := range len(c.queues) {
-			keys = append(keys, queueKey{c, flags, queuePriority(&c.Class, flags, &b.settings)})
+	b.queues = nil // a caller may be going through the former ones
+	for _, c := range slices.Concat(b.retiredClasses, b.classes) {
+		for flags := range c.queues {
+			q := &c.queues[flags]
+			q.class = c
+			q.priority = queuePriority(&c.Class, flags, &b.settings)
+			b.queues = append(b.queues, q)
 		}
 	}
-	sort.SliceStable(keys, func(i, j int) bool {
-		if keys[i].priority != keys[j].priority {
-			return keys[i].priority > keys[j].priority
-		}
-		return keys[i].class.LatencyTarget < keys[j].class.LatencyTarget
-	})
-	b.queues, b.priorities = make([]list[request], len(keys)), b.priorities[:0]
-	for k, key := range keys {
-		key.class.queues[key.flags] = k
-		b.priorities = append(b.priorities, key.priority)
+	slices.SortStableFunc(b.queues, compareQueues)
+	for i, q := range b.queues {
+		q.position = i
 	}
 }
 
-// queueFor returns the first queue whose priority is not higher, or the last queue.
-func (b *Balancer) queueFor(priority float64) int {
-	return min(sort.Search(len(b.priorities), func(i int) bool { return b.priorities[i] <= priority }),
-		len(b.priorities)-1)
+// compareQueues is negative if a is served before b.
+func compareQueues(a, b *queue) int {
+	return cmp.Or(
+		cmp.Compare(b.priority, a.priority),
+		cmp.Compare(a.class.LatencyTarget, b.class.LatencyTarget),
+	)
+}
+
+// dropIfEnded drops the queues of a class that is retired and whose last request has ended.
+func (b *Balancer) dropIfEnded(c *class) {
+	if i := slices.Index(b.retiredClasses, c); i >= 0 && c.openRequests == 0 {
+		b.retiredClasses = slices.Delete(b.retiredClasses, i, i+1)
+		b.orderQueues()
+	}
 }
 
 // queuePriority is the priority of the requests of a class with the given queue flags.
@@ -92,8 +108,8 @@
 // in order of priority.
 func (b *Balancer) processQueues() {
 	b.refuseExpired()
-	for i := range b.queues {
-		if noneReady := b.serveQueue(&b.queues[i]); noneReady {
+	for _, q := range b.queues {
+		if noneReady := b.serveQueue(q); noneReady {
 			break
 		}
 	}
@@ -102,8 +118,8 @@
 
 // refuseExpired answers requests that have waited too long.
 func (b *Balancer) refuseExpired() {
-	for i := range b.queues {
-		for n := b.queues[i].head; n != nil && b.now >= n.item.expires; n = b.queues[i].head {
+	for _, q := range b.queues {
+		for n := q.head; n != nil && b.now >= n.item.expires; n = q.head {
 			b.log(logRequestRefused, "refusing: hosts are full, %d requests wait", b.queued)
 			b.answerUnserved(n.item)
 		}
@@ -112,8 +128,8 @@
 
 // serveQueue sends the requests of a queue. A retry that is bound to its DedupScope does not block those
 // behind it. It reports whether no host is ready for a request without an attempt that may have run.
-func (b *Balancer) serveQueue(queue *list[request]) (noneReady bool) {
-	for n := queue.head; n != nil; {
+func (b *Balancer) serveQueue(q *queue) (noneReady bool) {
+	for n := q.head; n != nil; {
 		r, next := n.item, n.next
 		if h := b.pick(r); h != nil {
 			b.dequeue(r)
@@ -131,15 +147,15 @@
 	r.queued, r.node.item = true, r
 	b.queued++
 	if atFront {
-		b.queues[r.queueIndex].pushFront(&r.node)
+		r.queue().pushFront(&r.node)
 	} else {
-		b.queues[r.queueIndex].pushBack(&r.node)
+		r.queue().pushBack(&r.node)
 	}
 }
 
 func (b *Balancer) dequeue(r *request) {
 	if r.queued {
-		b.queues[r.queueIndex].remove(&r.node)
+		r.queue().remove(&r.node)
 		r.queued = false
 		b.queued--
 	}
--- a/ratelimit.go
+++ b/ratelimit.go
@@ -79,7 +79,7 @@
 	}
 	b.rateTokens = min(b.rateTokens+b.rateLimit*(b.now-b.rateFilledAt).Seconds(), rateBurst)
 	b.rateFilledAt = b.now
-	return b.rateTokens >= 1+(rateBurst-1)*float64(r.queueIndex)/float64(len(b.queues))
+	return b.rateTokens >= 1+(rateBurst-1)*float64(r.queue().position)/float64(len(b.queues))
 }
 
 // rateSpan is the time constant of the event rates in seconds.
--- a/request.go
+++ b/request.go
@@ -19,7 +19,6 @@
 	arrived       Time // time at which its last byte arrived
 	deadline      Time // time until which the client waits
 	expires       Time // while queued: time at which it has waited too long and is answered unserved
-	queueIndex    int  // index in requestQueues.queues
 	inFlight      int  // attempts in flight
 	done          bool // it has its answer or needs none
 	unserved      bool // it was answered for want of time or hosts
@@ -145,6 +144,8 @@
 		return
 	}
 	delete(b.requests, r.ID)
+	r.class.openRequests--
+	b.dropIfEnded(r.class)
 	b.freeAttempts = append(b.freeAttempts, r.attempts...)
 	b.freeRequests = append(b.freeRequests, r)
 }
--- a/settings.go
+++ b/settings.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -147,20 +148,8 @@
 	if err := checkSettings(&set); err != nil {
 		return err
 	}
-	var waiting []*request
-	for i := range b.queues {
-		for n := b.queues[i].head; n != nil; n = b.queues[i].head {
-			waiting = append(waiting, n.item)
-			b.dequeue(n.item)
-		}
-	}
 	b.applySettings(set)
 	b.orderPreferred()
-	for _, r := range waiting {
-		// The class may be gone: the request is queued by the priority that it would have.
-		r.queueIndex = b.queueFor(queuePriority(&r.class.Class, r.flags, &b.settings))
-		b.pushQueued(r, false)
-	}
 	b.processQueues()
 	return nil
 }
@@ -169,24 +158,58 @@
 func (b *Balancer) applySettings(set Settings) {
 	b.settings = set
 	b.applyClasses()
+	b.applyTargets()
 	b.applyQuotas()
 	b.orderQueues()
 }
 
-// applyClasses lists the classes of the settings. Those that stay, by name, keep their statistics.
+// applyClasses lists the classes of the settings. A class that stays as it was, or comes back while it still
+// has open requests, goes on as the same one; one with other rules keeps the statistics of its name. The
+// classes that end are retired until their last request has ended.
 func (b *Balancer) applyClasses() {
-	old := b.classes
-	b.classes, b.shortestTarget, b.penalty = nil, b.settings.Classes[0].LatencyTarget, 0
+	inForce, former := b.classes, slices.Concat(b.retiredClasses, b.classes)
+	b.classes, b.retiredClasses = nil, nil
+	for _, rules := range b.settings.Classes {
+		c := sameClass(former, rules)
+		if c == nil || slices.Contains(b.classes, c) {
+			c = newClass(rules, inForce)
+		}
+		b.classes = append(b.classes, c)
+	}
+	for _, c := range former {
+		if c.openRequests > 0 && !slices.Contains(b.classes, c) {
+			b.retiredClasses = append(b.retiredClasses, c)
+		}
+	}
+}
+
+// sameClass returns the class that has a name and exactly these rules, or nil.
+func sameClass(classes []*class, rules Class) *class {
+	for _, c := range classes {
+		if c.Class == rules && c.Name != "" {
+			return c
+		}
+	}
+	return nil
+}
+
+// newClass returns a class with the statistics of the former class of its name, if there is one.
+func newClass(rules Class, former []*class) *class {
+	c := &class{Class: rules}
+	for _, f := range former {
+		if f.Name == c.Name && c.Name != "" {
+			c.rtt, c.aloneRTT = f.rtt, f.aloneRTT
+		}
+	}
+	return c
+}
+
+// applyTargets sets what follows from the latency targets of all classes.
+func (b *Balancer) applyTargets() {
+	b.shortestTarget, b.penalty = b.settings.Classes[0].LatencyTarget, 0
 	for _, c := range b.settings.Classes {
 		b.shortestTarget = min(b.shortestTarget, c.LatencyTarget)
 		b.penalty = max(b.penalty, penaltyTargets*c.LatencyTarget.Seconds())
-		k := &class{Class: c}
-		for _, o := range old {
-			if o.Name == c.Name && c.Name != "" {
-				k.rtt, k.aloneRTT = o.rtt, o.aloneRTT
-			}
-		}
-		b.classes = append(b.classes, k)
 	}
 	b.decay = decayTargets * b.shortestTarget.Seconds()
 }
@@ -205,11 +228,12 @@
 	}
 }
 
-// class is a class of the settings with its statistics. An open request keeps its class when the
-// settings change.
+// class is a class of the settings with its statistics and queues. An open request keeps its class when
+// the settings change. A class that is no longer in the settings, and has open requests, is retired.
 type class struct {
 	Class
-	rtt      movingAverage // RTT in seconds of good answers
-	aloneRTT movingAverage // RTT in seconds of good answers to lone attempts at a host
-	queues   [4]int        // index in requestQueues.queues, by queue flags
+	rtt          movingAverage // RTT in seconds of good answers
+	aloneRTT     movingAverage // RTT in seconds of good answers to lone attempts at a host
+	openRequests int
+	queues       [4]queue // by queue flags
 }
--- a/settings_test.go
+++ b/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -138,3 +139,55 @@
 		t.Errorf("settings without classes: error %v, %d classes in use, want an error and 2", err, len(g.b.classes))
 	}
 }
+
+// Guards against a crash, or a place before requests of a higher priority, of a request whose attempt fails
+// after new settings have changed the queues: it kept its index among the queues of the old settings.
+func TestRequestInFlightIsQueuedUnderNewSettings(t *testing.T) {
+	set := basicSettings()
+	set.OverQuotaFactor = 0.9
+	look, report, book := &set.Classes[0], &set.Classes[1], &set.Classes[2]
+	look.Name, report.Name, book.Name = "look", "report", "book"
+	urgent := Class{Name: "urgent", LatencyTarget: 400 * ms, Deadline: time.Second, PriorityWeight: 10}
+	tests := []struct {
+		name    string
+		changes [][]Class // classes of the settings that come while a request of each class is in flight
+		order   []string  // classes of these and of one new request of each class, in the order of sending
+	}{
+		{"highest stays", [][]Class{{*book}}, []string{"book", "new book", "report", "look"}},
+		{"lowest stays", [][]Class{{*look}}, []string{"book", "report", "look", "new look"}},
+		{"higher is added", [][]Class{{*look, urgent}}, []string{"new urgent", "book", "report", "look", "new look"}},
+		{"dropped and added again", [][]Class{{*look}, {*book, *look}, {*report}, {*report, *book}},
+			[]string{"book", "new book", "report", "new report", "look"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := startGateway(t, set, testHosts(1)...)
+			names := map[RequestID]string{}
+			for i, class := range set.Classes {
+				names[g.request(i, time.Second)] = class.Name
+				g.onlyAction(Send)
+			}
+			inForce := set
+			for _, inForce.Classes = range tt.changes {
+				if err := g.b.UpdateSettings(g.now, inForce); err != nil {
+					t.Fatal(err)
+				}
+			}
+			g.b.SetMaintenance(g.now, 1, true)
+			for id := range len(set.Classes) {
+				g.outcome(RequestID(id+1), 0, ConnectFailed, ms)
+			}
+			for i, class := range inForce.Classes {
+				names[g.request(i, time.Second)] = "new " + class.Name
+			}
+			g.updateHosts(ListFull, testHosts(4)...)
+			var order []string
+			for _, a := range g.actions {
+				order = append(order, names[a.Request])
+			}
+			if !slices.Equal(order, tt.order) {
+				t.Errorf("sent %q, want %q", order, tt.order)
+			}
+		})
+	}
+}
