Keep the use of a quota with its tenant when new settings move it in the list

What callers see: after new settings that drop, add or reorder tenants of equal quotas, a tenant that has used nothing is taken to be beyond its quota, and is served last or refused under load, and the one that had used its quota up may use it again.

Cause: the tokens went to the tenant at the same index of the new list.

Fix: the module knows the names of tenants, as it does those of classes, and goes by them.

TestUseOfQuotaStaysWithItsTenant failed before: "idle: within quota false, want true" and "busy: within quota true, want false".

--- a/api.go
+++ b/api.go
@@ -71,6 +71,7 @@
 
 // Tenant describes one customer. Quota is its requests a second over all instances; 0 means no quota.
 type Tenant struct {
+	Name  string // optional; UpdateSettings keeps the use of quotas by name
 	Quota float64
 }
 
--- a/balancer.go
+++ b/balancer.go
@@ -24,8 +24,8 @@
 type Balancer struct {
 	settings       Settings
 	classes        []*class
-	shortestTarget Time          // shortest latency target of any class
-	quotas         []tokenBucket // quotas of the tenants, by index in Settings.Tenants
+	shortestTarget Time    // shortest latency target of any class
+	quotas         []quota // of the tenants, by index in Settings.Tenants
 
 	now      Time
 	rng      uint64    // state of nextRand
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -33,6 +33,7 @@
 		Window     micros  // deduplication window
 	}
 	Tenants []struct {
+		Name           string
 		QuotaPerSecond float64 `json:"quota_per_s"` // requests per second
 	}
 	Caps struct {
@@ -118,7 +119,7 @@
 		})
 	}
 	for _, t := range decoded.Tenants {
-		result.Tenants = append(result.Tenants, bramblelock.Tenant{Quota: t.QuotaPerSecond})
+		result.Tenants = append(result.Tenants, bramblelock.Tenant{Name: t.Name, Quota: t.QuotaPerSecond})
 	}
 	return result, nil
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -222,7 +222,7 @@
 		OverQuotaFactor: 0.05, CancelAllowed: true,
 		MaxAttempts: 3, MaxRetryAfter: 600 * time.Millisecond,
 		ColdCapacity: 0.31, OverloadWindow: time.Second, OverloadFactor: 2.5, WarmAfter: 8900 * time.Millisecond,
-		Tenants: []bramblelock.Tenant{{Quota: 104}},
+		Tenants: []bramblelock.Tenant{{Name: "a", Quota: 104}},
 		Classes: []bramblelock.Class{
 			{LatencyTarget: 300 * time.Millisecond, Deadline: 1200 * time.Millisecond, PriorityWeight: 2,
 				Effect: bramblelock.Deduplicated, DedupScope: bramblelock.DedupCell, DedupWindow: 5 * time.Second},
--- a/settings.go
+++ b/settings.go
@@ -214,20 +214,6 @@
 	b.decay = decayTargets * b.shortestTarget.Seconds()
 }
 
-// applyQuotas sets this instance's part of the quotas. A quota that is the same as before keeps its tokens.
-func (b *Balancer) applyQuotas() {
-	old := b.quotas
-	b.quotas = nil
-	for i, t := range b.settings.Tenants {
-		rate := t.Quota / float64(b.settings.Instances)
-		quota := tokenBucket{tokens: rate * quotaBurstSeconds, rate: rate, filledAt: b.now}
-		if i < len(old) && old[i].rate == rate {
-			quota = old[i]
-		}
-		b.quotas = append(b.quotas, quota)
-	}
-}
-
 // class is a class of the settings with its statistics and queues. An open request keeps its class when
 // the settings change. A class that is no longer in the settings, and has open requests, is retired.
 type class struct {
--- a/settings_test.go
+++ b/settings_test.go
@@ -191,3 +191,28 @@
 		})
 	}
 }
+
+// Guards against a tenant that is given the use of another's quota when new settings move it in the list.
+func TestUseOfQuotaStaysWithItsTenant(t *testing.T) {
+	set := basicSettings()
+	busy, idle, rare := Tenant{Name: "busy", Quota: 1}, Tenant{Name: "idle", Quota: 1}, Tenant{Name: "rare", Quota: 1}
+	set.Tenants = []Tenant{busy, idle}
+	g := startGateway(t, set)
+	withinQuota := func(tenant int) bool {
+		g.nextID++
+		g.b.Request(g.now, Request{ID: g.nextID, Tenant: tenant, Remaining: time.Second})
+		return g.b.requests[g.nextID].flags&overQuota == 0
+	}
+	if !withinQuota(0) || withinQuota(0) {
+		t.Fatal("want one request within quota, then one beyond it")
+	}
+	set.Tenants = []Tenant{idle, rare, busy}
+	if err := g.b.UpdateSettings(g.now, set); err != nil {
+		t.Fatal(err)
+	}
+	for tenant, want := range []bool{true, true, false} {
+		if got := withinQuota(tenant); got != want {
+			t.Errorf("%s: within quota %v, want %v", set.Tenants[tenant].Name, got, want)
+		}
+	}
+}
