Handle a request by the settings under which its head was read, also after a change

What callers see: a request whose head was read before a SIGHUP and that is passed to the module after it is answered 400 if its class was dropped; if its class has become idempotent, one that was sent as at-most-once is sent again after an error.

Fix: Request.Settings says under which settings a request came, if not those in force. The module takes the class and the number of attempts from them and the quota by the tenant's name. A class that is no longer in force is retired, as for any other open request.

On the code before: "dropped" rejected; for "now idempotent" the host got 4 requests, 1 wanted. FuzzRules sends some requests under former settings; 30,000 random histories, half with changes of settings: no rule broken.

--- a/api.go
+++ b/api.go
@@ -151,12 +151,16 @@
 // Request is a client's request that now awaits one final answer.
 type Request struct {
 	ID          RequestID
-	Class       int           // index in Settings.Classes
-	Tenant      int           // index in Settings.Tenants
+	Class       int           // index in Classes of the settings
+	Tenant      int           // index in Tenants of the settings
 	Remaining   time.Duration // time until the client gives up on this request; 0: its deadline is now
 	Age         time.Duration // time since its last byte arrived
 	ClientRetry bool          // the client marked it as a retry
 	Upload      bool          // it is forwarded while it arrives; its deadline starts at UploadComplete
+
+	// Settings are those under which the request came, and whose Class, Tenant and MaxAttempts apply to it, if they
+	// are no longer in force; nil: the settings in force.
+	Settings *Settings
 }
 
 // Result says how an attempt ended.
--- a/balancer.go
+++ b/balancer.go
@@ -76,10 +76,14 @@
 // Request is a new client request, which gets exactly one final answer.
 func (b *Balancer) Request(now Time, q Request) {
 	b.now = now
-	if b.requests[q.ID] != nil || q.Class < 0 || q.Class >= len(b.classes) {
+	if b.requests[q.ID] != nil {
 		return
 	}
-	r := b.openRequest(q)
+	rules := b.rulesOf(&q)
+	if rules.class == nil {
+		return
+	}
+	r := b.openRequest(q, rules)
 	b.arrivals.add(now, b.rateSpan())
 	b.longArrivals.add(now, peerRateSpan)
 	if q.Upload {
@@ -90,16 +94,16 @@
 	b.dispatch(r, false)
 }
 
-// openRequest records a request under the rules in force.
-func (b *Balancer) openRequest(q Request) *request {
+// openRequest records a request under its rules.
+func (b *Balancer) openRequest(q Request, rules requestRules) *request {
 	r := b.newRequest()
 	r.Request = q
-	r.class = b.classes[q.Class]
+	r.class = rules.class
 	r.class.openRequests++
-	r.maxAttempts = b.settings.MaxAttempts
+	r.maxAttempts = rules.maxAttempts
 	r.arrived = b.now - max(q.Age, 0)
 	r.deadline = b.now + min(max(q.Remaining, 0), r.class.Deadline)
-	r.flags = b.queueFlags(r)
+	r.flags = b.queueFlags(r, rules.quota)
 	b.requests[q.ID] = r
 	return r
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -143,14 +143,6 @@
 // without the Balancer.
 func (l *Loop) Submit(x *exchange) {
 	l.post(func(now bramblelock.Time) {
-		if rules := l.rules.Load(); rules != x.rules {
-			// The rules changed after the head of the request was read. The rules in force now
-			// apply, as the Balancer knows the classes by their index in its settings.
-			if err := x.resolve(rules); err != nil {
-				x.finish(answer{kind: answerRejected, err: err})
-				return
-			}
-		}
 		l.lastID++
 		x.id = l.lastID
 		l.openRequests[x.id] = x
@@ -158,6 +150,9 @@
 			ID: x.id, Class: x.class, Tenant: x.tenant, ClientRetry: x.clientRetry,
 			Remaining: x.timeout, Upload: x.upload != nil,
 		}
+		if x.rules != l.rules.Load() {
+			request.Settings = &x.rules.Settings // new ones came into force after its head was read
+		}
 		if x.upload == nil {
 			request.Remaining = max(0, l.clock.at(x.deadline)-now)
 			request.Age = max(0, now-l.clock.at(x.receivedAt()))
--- a/queue.go
+++ b/queue.go
@@ -84,9 +84,9 @@
 	clientRetry             // the client marked the request as a retry
 )
 
-// queueFlags returns the queue flags of a request and charges the quota of its tenant.
-func (b *Balancer) queueFlags(r *request) (flags int) {
-	if r.Tenant >= 0 && r.Tenant < len(b.quotas) && !b.quotas[r.Tenant].take(b.now) {
+// queueFlags returns the queue flags of a request and charges the quota of its tenant, which may be nil.
+func (b *Balancer) queueFlags(r *request, quota *quota) (flags int) {
+	if quota != nil && !quota.take(b.now) {
 		flags |= overQuota
 	}
 	if r.ClientRetry {
--- a/settings.go
+++ b/settings.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"slices"
 	"time"
 )
 
@@ -163,47 +162,6 @@
 	b.orderQueues()
 }
 
-// applyClasses lists the classes of the settings. A class that stays as it was, or comes back while it still
-// has open requests, goes on as the same one; one with other rules keeps the statistics of its name. The
-// classes that end are retired until their last request has ended.
-func (b *Balancer) applyClasses() {
-	inForce, former := b.classes, slices.Concat(b.retiredClasses, b.classes)
-	b.classes, b.retiredClasses = nil, nil
-	for _, rules := range b.settings.Classes {
-		c := sameClass(former, rules)
-		if c == nil || slices.Contains(b.classes, c) {
-			c = newClass(rules, inForce)
-		}
-		b.classes = append(b.classes, c)
-	}
-	for _, c := range former {
-		if c.openRequests > 0 && !slices.Contains(b.classes, c) {
-			b.retiredClasses = append(b.retiredClasses, c)
-		}
-	}
-}
-
-// sameClass returns the class that has a name and exactly these rules, or nil.
-func sameClass(classes []*class, rules Class) *class {
-	for _, c := range classes {
-		if c.Class == rules && c.Name != "" {
-			return c
-		}
-	}
-	return nil
-}
-
-// newClass returns a class with the statistics of the former class of its name, if there is one.
-func newClass(rules Class, former []*class) *class {
-	c := &class{Class: rules}
-	for _, f := range former {
-		if f.Name == c.Name && c.Name != "" {
-			c.rtt, c.aloneRTT = f.rtt, f.aloneRTT
-		}
-	}
-	return c
-}
-
 // applyTargets sets what follows from the latency targets of all classes.
 func (b *Balancer) applyTargets() {
 	b.shortestTarget, b.penalty = b.settings.Classes[0].LatencyTarget, 0
@@ -213,13 +171,3 @@
 	}
 	b.decay = decayTargets * b.shortestTarget.Seconds()
 }
-
-// class is a class of the settings with its statistics and queues. An open request keeps its class when
-// the settings change. A class that is no longer in the settings, and has open requests, is retired.
-type class struct {
-	Class
-	rtt          movingAverage // RTT in seconds of good answers
-	aloneRTT     movingAverage // RTT in seconds of good answers to lone attempts at a host
-	openRequests int
-	queues       [4]queue // by queue flags
-}
