Send messages of the membership to copies of nodes, which memberlist does not change

Where membership is on (it is off by default), a message could go to an address that is read while it is being changed.

Cause: Members and LocalNode return pointers to nodes that memberlist goes on changing under a lock of its own. sendList, RequestLists and Leave sent to these and read their addresses without it; so did the test by LocalNode.

Fix: the view keeps a copy of each node from the event, which memberlist sends under its lock, and messages go to copies. Nothing keeps a pointer to memberlist's nodes any more, so no reader is left.

--- a/internal/membership/incarnation_test.go
+++ b/internal/membership/incarnation_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
+
+	"github.com/hashicorp/memberlist"
 )
 
 const conditionTimeout = 60 * time.Second // long, because test machines may be overloaded
@@ -30,6 +33,16 @@
 	return n
 }
 
+// nodeAt returns a node with a name and an address.
+func nodeAt(t *testing.T, name, addr string) *memberlist.Node {
+	t.Helper()
+	at, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &memberlist.Node{Name: name, Addr: at.Addr().AsSlice(), Port: at.Port()}
+}
+
 // waitForPeer waits until the view of n has the named peer and ok accepts it; what describes the
 // condition in the failure.
 func waitForPeer(t *testing.T, n *Node, name, what string, ok func(Peer) bool) {
@@ -66,15 +79,16 @@
 // has started, and must drop them if the start fails.
 func TestMessagesBeforeStart(t *testing.T) {
 	const own, known = 1_999_996_400_000, 2_000_000_000_000 // in Unix ms
-	a := startNode(t, "a", freeAddr(t), known)
+	addrA := freeAddr(t)
+	a := startNode(t, "a", addrA, known)
 	defer a.Leave(time.Second)
 	startAfterMessages := func(bind string) (*Node, error) {
 		opt := Options{Name: "b", Bind: bind, Incarnation: own, Local: true, Lists: fixedList("list"),
-			Peers: []string{a.ml.LocalNode().Address()}}
+			Peers: []string{addrA}}
 		b := newNode(opt)
 		(*delegate)(b).NotifyMsg([]byte(listRequestPrefix + "a"))
 		(*delegate)(b).NotifyMsg(fmt.Appendf(nil, "%s%d", incarnationPrefix, uint64(known)))
-		go b.reportIncarnation(a.ml.LocalNode(), known)
+		go b.reportIncarnation(nodeAt(t, "a", addrA), known)
 		return b, b.start(opt)
 	}
 	if _, err := startAfterMessages("no port"); err == nil {
@@ -88,6 +102,27 @@
 	waitForPeer(t, a, "b", "alive with a raised incarnation", func(p Peer) bool { return p.State == Alive && p.Incarnation > known })
 }
 
+// Guards against a data race: messages to a peer read the node that memberlist changes as the peer announces
+// new metadata.
+func TestMessagesWhilePeerAnnounces(t *testing.T) {
+	addrA := freeAddr(t)
+	a := startNode(t, "a", addrA, 1)
+	defer a.Leave(time.Second)
+	b, err := Start(Options{Name: "b", Bind: freeAddr(t), Peers: []string{addrA}, Local: true, Lists: fixedList("list")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Leave(time.Second)
+	for rank := range 5 {
+		a.AnnounceLoad(rank+1, 0)
+		waitForPeer(t, b, "a", fmt.Sprint("of rank ", rank+1), func(p Peer) bool {
+			b.RequestLists()
+			b.sendList("a")
+			return p.Rank == rank+1
+		})
+	}
+}
+
 // fixedList offers a fixed host list and takes none.
 type fixedList string
 
--- a/internal/membership/lists.go
+++ b/internal/membership/lists.go
@@ -96,9 +96,9 @@
 	if ml == nil {
 		return
 	}
-	for _, m := range ml.Members() {
-		if m.Name == name {
-			if err := ml.SendReliable(m, append([]byte(listMessagePrefix), list...)); err != nil {
+	for _, peer := range n.livePeers() {
+		if peer.Name == name {
+			if err := ml.SendReliable(peer, append([]byte(listMessagePrefix), list...)); err != nil {
 				slog.Info("membership: list not sent to peer", "peer", name, "err", err)
 			}
 			return
@@ -109,14 +109,10 @@
 // RequestLists asks up to maxListRequests randomly chosen peers for their host list. The lists that
 // they send are passed to Lists.Take later; a peer without a list does not answer.
 func (n *Node) RequestLists() {
-	members := n.ml.Members()
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	sent := 0
-	for _, m := range members {
-		if m.Name != n.name && sent < maxListRequests {
-			n.ml.SendBestEffort(m, []byte(listRequestPrefix+n.name))
-			sent++
-		}
+	peers := n.livePeers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, peer := range peers[:min(len(peers), maxListRequests)] {
+		n.ml.SendBestEffort(peer, []byte(listRequestPrefix+n.name))
 	}
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -138,10 +138,8 @@
 	close(n.stopped)
 	// Peers get the announcement directly and by gossip before memberlist's own leave message.
 	message := []byte(leavePrefix + n.name)
-	for _, m := range n.ml.Members() {
-		if m.Name != n.name {
-			n.ml.SendBestEffort(m, message)
-		}
+	for _, peer := range n.livePeers() {
+		n.ml.SendBestEffort(peer, message)
 	}
 	n.ml.UpdateNode(timeout / 2)
 	err := n.ml.Leave(timeout / 2)
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -32,6 +32,8 @@
 	Rank        int       `json:"rank"`      // rank in the peer's settings, as last announced
 	Rate        float64   `json:"rate"`      // requests per second received by the peer, as last announced
 	leaving     bool      // the peer announced that it leaves, so it ends as Left, not as Dead
+	// node is a copy of memberlist's node, which memberlist modifies under a lock of its own.
+	node memberlist.Node
 }
 
 // isLive reports whether the gateway is alive or suspect.
@@ -49,6 +51,21 @@
 	return false
 }
 
+// livePeers returns the nodes of all live (alive or suspect) peers, to which messages can be sent. They are
+// not those that memberlist's Members and LocalNode return: memberlist modifies these at any time.
+func (n *Node) livePeers() []*memberlist.Node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var nodes []*memberlist.Node
+	for _, p := range n.view {
+		if p.isLive() && p.Name != n.name {
+			node := p.node
+			nodes = append(nodes, &node)
+		}
+	}
+	return nodes
+}
+
 // View returns all known gateways, this one included, sorted by name.
 func (n *Node) View() []Peer {
 	n.mu.Lock()
@@ -112,6 +129,7 @@
 	if m.Incarnation != 0 {
 		p.Incarnation = m.Incarnation
 	}
+	p.node = *node
 	p.Addr = node.Address()
 	p.Rank = m.Rank
 	p.Rate = max(m.Rate, 0)
