--- a/fuzz_test.go
+++ b/fuzz_test.go
@@ -73,15 +73,18 @@
 	servedAt   Time
 }
 
+// fleetSizes are the numbers of instances in settings.
+var fleetSizes = [5]int{1, 2, 5, 40, 300}
+
 // newHistory starts a Balancer with settings and a saved list that the bytes of config choose.
 func newHistory(t *testing.T, config []byte) *history {
 	h := &history{T: t, now: 1 << 40, requests: map[RequestID]*requestRecord{}}
 	h.set = Settings{
-		Instances: []int{1, 2, 5, 40, 300}[config[0]%5], EventInterval: Time(1+config[1]%5) * ms, MaxAttempts: 1 + int(config[2]%4),
+		Instances: fleetSizes[config[0]%5], EventInterval: Time(1+config[1]%5) * ms, MaxAttempts: 1 + int(config[2]%4),
 		CancelAllowed: config[3]&1 == 0, MaxRetryAfter: time.Second,
 		WatchHosts: config[3]&4 != 0, MaxWatchGap: 4 * time.Second,
 		ColdCapacity: 0.2, WarmAfter: 5 * time.Second, OverloadFactor: 2.5, OverloadWindow: time.Second,
-		OverQuotaFactor: 0.1, Tenants: []Tenant{{Quota: 5}, {}},
+		OverQuotaFactor: 0.1, Tenants: []Tenant{{Name: "capped", Quota: 5}, {Name: "free"}},
 	}
 	for i := range 5 {
 		class := Class{Name: fmt.Sprint("class ", i), LatencyTarget: Time(100+50*i) * ms, Deadline: Time(400+100*i) * ms, PriorityWeight: float64(1 + i),
@@ -170,13 +173,16 @@
 	h.carryOutActions()
 }
 
-// changeSettings puts some of the classes into force, in any order and some with another effect, and another
-// number of attempts.
+// changeSettings puts some of the classes into force, in any order and some with another effect, and other
+// tenants, another number of attempts and another number and rank of instances.
 func (h *history) changeSettings(seed int64) {
 	r := rand.New(rand.NewSource(seed))
 	former := h.set
 	h.former = &former
 	h.set.MaxAttempts = 1 + r.Intn(4)
+	h.set.Instances = fleetSizes[r.Intn(len(fleetSizes))]
+	h.set.Rank = r.Intn(h.set.Instances)
+	h.set.Tenants = []Tenant{{Name: "capped", Quota: 5}, {Name: "free"}}[:r.Intn(3)]
 	h.set.Classes = nil
 	for _, i := range r.Perm(len(h.classes))[r.Intn(len(h.classes)):] {
 		class := h.classes[i]
