Say which requests reached the other host when TestRemovalKeepsScopeOfRepeats fails

Need: its one failure counted 26 requests at the other host while the gateway answered 502, though that host answers 200 to whatever it gets, so some other process may have sent them. The message did not say what they were. It now prints each request and where it came from.

--- a/internal/gateway/hostlist_test.go
+++ b/internal/gateway/hostlist_test.go
@@ -71,7 +71,7 @@
 		g = startGateway(t, cfg)
 		resp, _ := g.request("report", "/api/1", "body", "Idempotency-Key", "k")
 		if requests, _, _ := other.counts(); requests != tt.want || (resp.StatusCode == 200) != (tt.want > 0) {
-			t.Errorf("%+v: status %d, the other host got %d requests", tt, resp.StatusCode, requests)
+			t.Errorf("%+v: status %d, the other host got %d requests:%s", tt, resp.StatusCode, requests, other.describeRequests())
 		}
 	}
 }
--- a/internal/gateway/testhost_test.go
+++ b/internal/gateway/testhost_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -82,6 +84,7 @@
 			h.mu.Unlock()
 			return
 		}
+		r.RemoteAddr = c.RemoteAddr().String()
 		h.mu.Lock()
 		n := len(h.requests)
 		h.requests = append(h.requests, r)
@@ -103,6 +106,17 @@
 	return len(h.requests), h.accepted, h.ended
 }
 
+// describeRequests returns a line for each complete request, which says what it was and where it came from.
+func (h *testHost) describeRequests() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var lines strings.Builder
+	for _, r := range h.requests {
+		fmt.Fprintf(&lines, "\n%s %s to %s from %s, header %v", r.Method, r.RequestURI, r.Host, r.RemoteAddr, r.Header)
+	}
+	return lines.String()
+}
+
 // answerWith returns a script that always writes the same answer.
 func answerWith(text string) func(net.Conn, *http.Request, int) bool {
 	return func(c net.Conn, _ *http.Request, _ int) bool {
