Give links and probed ports of tests a loopback address of their own process

Cause, as far as it can be shown: a Link that refuses gives up its port, while its clients go on dialling it; both it and the test's hosts drew ports of 127.0.0.1, so a host of another process can be given that port.

Only the soak makes links refuse.

Fix: links and the ports that tests find free are at loopback addresses that follow from the process id.

--- a/cmd/gateway/drain_test.go
+++ b/cmd/gateway/drain_test.go
@@ -56,7 +56,7 @@
 	defer discovery.Close()
 	defer close(endWatches)
 	var gateways []*program
-	listens := freeAddrs(t, "127.0.0.83", gatewayCount)
+	listens := freeAddrs(t, serviceHost, gatewayCount)
 	for rank := range gatewayCount {
 		text := configJSON(addrs...)
 		text = strings.Replace(text, "127.0.0.1:1", strings.TrimPrefix(discovery.URL, "http://"), 1)
--- a/cmd/gateway/idle_clients_test.go
+++ b/cmd/gateway/idle_clients_test.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"bramblelock/internal/faultnet"
 )
 
 // Idle clients take all the descriptors that they can get in a process limited to 128 descriptors,
@@ -19,13 +21,13 @@
 func TestIdleClientsLeaveDescriptorsForDiscovery(t *testing.T) {
 	const descriptorLimit, idleClients = 128, 200
 	requestCounts, addrs := startTwoHosts(t)
-	ln, err := net.Listen("tcp", "127.0.0.85:0") // no test dials from this address, so the port stays free
+	ln, err := net.Listen("tcp", faultnet.ProcessIP(discoveryHost)+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	discoveryAddr := ln.Addr().String()
 	ln.Close() // discovery is down
-	free := freeAddrs(t, "127.0.0.83", 2)
+	free := freeAddrs(t, serviceHost, 2)
 	operator, listen := free[0], free[1]
 	text := strings.Replace(configJSON(addrs...), "127.0.0.1:1", discoveryAddr, 1)
 	text = strings.Replace(text, `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, descriptorLimit), 1)
--- a/cmd/gateway/membership_test.go
+++ b/cmd/gateway/membership_test.go
@@ -21,7 +21,7 @@
 	dir := t.TempDir()
 	// Client and operator addresses are allocated in one call: two calls for the same IP address
 	// could return the same port, and a gateway would then exit at its start.
-	bindAddrs, serviceAddrs := freeAddrs(t, "127.0.0.84", n), freeAddrs(t, "127.0.0.83", 2*n)
+	bindAddrs, serviceAddrs := freeAddrs(t, membershipHost, n), freeAddrs(t, serviceHost, 2*n)
 	clientAddrs, freeOperatorAddrs := serviceAddrs[:n], serviceAddrs[n:]
 	for i := 0; i < n; i++ {
 		var cfg map[string]any
@@ -44,12 +44,12 @@
 	return processes, operatorAddrs
 }
 
-// freeAddrs returns n distinct addresses of ip with free ports. It holds every port until all are
+// freeAddrs returns n distinct addresses with free ports of a host of faultnet.ProcessIP. It holds every port until all are
 // allocated, so that none is returned twice.
-func freeAddrs(t *testing.T, ip string, n int) []string {
+func freeAddrs(t *testing.T, host byte, n int) []string {
 	var out []string
 	for i := 0; i < n; i++ {
-		ln, err := net.Listen("tcp", ip+":0")
+		ln, err := net.Listen("tcp", faultnet.ProcessIP(host)+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -191,6 +191,15 @@
 	return out.String()
 }
 
+// addrsInViews returns the address of a gateway in the view of each gateway: a view of another test's fleet has
+// another process by that name.
+func addrsInViews(operatorAddrs []string, name string) (addrs []string) {
+	for _, operatorAddr := range operatorAddrs {
+		addrs = append(addrs, fetchView(operatorAddr)[name].Addr)
+	}
+	return addrs
+}
+
 // A gateway is stopped with SIGSTOP until a peer suspects it. Once resumed, it must refute the suspicion
 // by itself and be marked alive by all peers. Malformed and truncated packets at its membership port must
 // then be dropped and counted, and the gateway must keep running and stay alive at all peers.
@@ -229,7 +238,8 @@
 	stopped.Cont()
 	recoveryTime, ok := waitViews(operatorAddrs, allAlive)
 	if !ok || suspectTime >= 2*time.Minute {
-		t.Fatalf("suspected %v after the stop, but not alive again at all peers: %s", suspectTime, describeMissingPeers(processes, operatorAddrs))
+		t.Fatalf("suspected %v after the stop, but not alive again at all peers: %s\nits address in the views: %q", suspectTime,
+			describeMissingPeers(processes, operatorAddrs), addrsInViews(operatorAddrs, stopped.Name))
 	}
 	t.Logf("suspected %v after the stop, alive again at all peers %v after the resume", suspectTime, recoveryTime)
 
--- a/cmd/gateway/program_test.go
+++ b/cmd/gateway/program_test.go
@@ -17,6 +17,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"bramblelock/internal/faultnet"
 )
 
 // waitTimeout limits the wait for a condition. It is long because test machines may be slow.
@@ -136,11 +138,18 @@
 	t.Fatal("the program did not become ready")
 }
 
-// freeAddr returns a loopback address with a free port. Only these tests use that IP address, so the
-// port is unlikely to be taken before the program listens on it.
+// Hosts of faultnet.ProcessIP that these tests use. Nobody dials from them, so a port that was found free
+// stays so until its program listens.
+const (
+	serviceHost    = 83 // addresses of gateways for clients and operators
+	membershipHost = 84 // addresses of gateways for their peers
+	discoveryHost  = 85 // addresses of discovery while it is down
+)
+
+// freeAddr returns a loopback address with a free port.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.83:0")
+	ln, err := net.Listen("tcp", faultnet.ProcessIP(serviceHost)+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/faultnet/link.go
+++ b/internal/faultnet/link.go
@@ -48,7 +48,7 @@
 
 // NewLink returns a Link that listens on a free loopback port and forwards to target.
 func NewLink(target string) (*Link, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", ProcessIP(linkHost)+":0")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/faultnet/link_test.go
+++ b/internal/faultnet/link_test.go
@@ -87,6 +87,30 @@
 	}
 }
 
+// Guards against clients of a refusing link that reach a server of another process: the link gives up its port,
+// and a server that listens at any free port of the usual address may be given the same number.
+func TestClientsOfRefusingLinkReachNoOther(t *testing.T) {
+	l, err := NewLink(startEchoServer(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	l.Set(Refuse)
+	_, port, err := net.SplitHostPort(l.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := net.Listen("tcp", "127.0.0.1:"+port)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	if c, err := net.Dial("tcp", l.Addr); err == nil {
+		c.Close()
+		t.Error("a client of the link reached another server")
+	}
+}
+
 // A connection that cannot reach the link's target is reset alone. Those that are open keep their target.
 func TestUnreachableTargetResetsOnlyNewConnection(t *testing.T) {
 	l, err := NewLink(startEchoServer(t))
--- a/internal/faultnet/proc.go
+++ b/internal/faultnet/proc.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -27,28 +25,6 @@
 	return bins, nil
 }
 
-// freeAddrIP is the address whose ports FreeAddr returns. Nobody dials from it and links listen on
-// another address, so a port stays free until the process that it is meant for listens.
-const freeAddrIP = "127.0.0.88"
-
-var issuedAddrs sync.Map // addresses that FreeAddr has returned
-
-// FreeAddr returns a loopback address with a free port. It never returns the same address twice in
-// one process.
-func FreeAddr() (string, error) {
-	for {
-		ln, err := net.Listen("tcp", freeAddrIP+":0")
-		if err != nil {
-			return "", err
-		}
-		addr := ln.Addr().String()
-		ln.Close()
-		if _, issued := issuedAddrs.LoadOrStore(addr, true); !issued {
-			return addr, nil
-		}
-	}
-}
-
 // Proc is a process of one of this module's binaries, with its output in a file.
 type Proc struct {
 	Name string
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bramblelock"
+	"bramblelock/internal/faultnet"
 	"bramblelock/internal/gateway/discovery"
 )
 
@@ -29,13 +30,17 @@
 	calls   int
 }
 
+// freeDiscoveryAddr returns an address for discovery whose port the kernel chooses. No client dials from it, so
+// that the port stays free while discovery is down.
+func freeDiscoveryAddr() string { return faultnet.ProcessIP(84) + ":0" }
+
 func newFakeDiscovery(t *testing.T, hosts ...*testHost) *fakeDiscovery {
 	r := &fakeDiscovery{t: t, version: 50, states: map[string]string{}, addrs: map[string]string{}, watches: map[net.Conn]bool{}}
 	for i, h := range hosts {
 		id := "s-" + strconv.Itoa(i)
 		r.states[id], r.addrs[id] = "ready", h.addr()
 	}
-	r.start("127.0.0.84:0") // an address that no client here dials from, so that the port stays free
+	r.start(freeDiscoveryAddr())
 	t.Cleanup(r.stop)
 	return r
 }
@@ -123,7 +128,7 @@
 		"a new configuration": func(r *fakeDiscovery, d *discovery.Client) *fakeDiscovery {
 			r.silenceWatches() // the old address sends nothing more
 			moved := &fakeDiscovery{t: r.t, version: 1, states: r.states, addrs: r.addrs, watches: map[net.Conn]bool{}}
-			moved.start("127.0.0.84:0")
+			moved.start(freeDiscoveryAddr())
 			r.t.Cleanup(moved.stop)
 			d.SetAddrs(moved.ln.Addr().String())
 			return moved
--- a/internal/membership/incarnation_test.go
+++ b/internal/membership/incarnation_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/hashicorp/memberlist"
+
+	"bramblelock/internal/faultnet"
 )
 
 const conditionTimeout = 60 * time.Second // long, because test machines may be overloaded
@@ -16,7 +18,7 @@
 // the port for UDP and TCP.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.86:0") // nothing else uses that address
+	ln, err := net.Listen("tcp", faultnet.ProcessIP(86)+":0") // nothing else uses that address
 	if err != nil {
 		t.Fatal(err)
 	}
