--- a/review/rig2/host.go
+++ b/review/rig2/host.go
@@ -13,7 +13,8 @@
 // call is one attempt that a host has received whole.
 type call struct {
 	id, method, uri string
-	body            int // bytes
+	length          int64 // Content-Length; -1 if it is unknown
+	body            int   // bytes that have arrived
 	timeout         string
 	at              time.Time
 	firstByteAt     time.Time
@@ -88,7 +89,7 @@
 		if err != nil {
 			return
 		}
-		k := &call{id: r.Header.Get("X-Request-ID"), method: r.Method, uri: r.RequestURI, timeout: r.Header.Get("X-Timeout"), conn: c, firstByteAt: first}
+		k := &call{id: r.Header.Get("X-Request-ID"), method: r.Method, uri: r.RequestURI, length: r.ContentLength, timeout: r.Header.Get("X-Timeout"), conn: c, firstByteAt: first}
 		if h.onStart != nil {
 			h.onStart(h, k)
 		}
