--- a/review/rig2/case_hang.go
+++ b/review/rig2/case_hang.go
@@ -28,7 +28,7 @@
 		size     = 8 << 20
 		timeout  = 4 * time.Second
 		patience = 8 * time.Second // from the first byte, after which a client of a long request leaves
-		longTime = 50 * time.Second
+		longTime = 60 * time.Second
 		rest     = 25 * time.Second // from the last long request to the end
 		watched  = 12 * time.Second // the end of it, in which service is judged
 	)
