Bound the fields of a head and the memory of all heads before net/http reads them

Cause: MaxHeaderBytes limits bytes, but net/http makes a map entry, a slice and strings of each short line, and nothing counted them. Ruled out: the connections (600 silent peers: 22 MB) and bodies, which have a budget.

Fix: framedConn, which parses the framing before net/http gets the bytes, counts fields and bytes of a head. Over 100 fields: 431 and a close. What a head costs beyond 4 KiB comes from a budget of a tenth of the memory limit, returned with the answer or the connection; 503 where it is used up. It holds whatever net/http makes of the bytes, as they are refused before it sees them. A whole request ahead of such a head is answered first.

--- a/cmd/gateway/main_test.go
+++ b/cmd/gateway/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -8,11 +9,21 @@
 	"strings"
 	"testing"
 	"time"
+
+	"bramblelock/internal/peerload"
 )
 
-// TestMain runs the program itself if GATEWAY_AS_PROGRAM is set. Tests start the test binary in this
-// way, so that they can check signals and exit codes of a real process.
+// TestMain runs the program itself if GATEWAY_AS_PROGRAM is set, and misbehaving peers if PEERS_AS_PROGRAM
+// is. Tests start the test binary in this way, so that they can check signals and exit codes of a real
+// process, and play peers apart from the clients that they judge by.
 func TestMain(m *testing.M) {
+	if os.Getenv("PEERS_AS_PROGRAM") != "" {
+		if err := peerload.Main(os.Args[1:], os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	if os.Getenv("GATEWAY_AS_PROGRAM") != "" {
 		main()
 		return
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -46,14 +46,15 @@
 	bodyDrainTime = time.Second
 )
 
-// memoryBudget limits how many bytes all requests together may buffer.
+// memoryBudget limits how many bytes all requests together may hold for one purpose.
 type memoryBudget struct{ remaining atomic.Int64 }
 
-func newMemoryBudget(cfg *config.Config) *memoryBudget {
+// newMemoryBudget returns a budget of a share of the memory limit or, without a limit, of defaultBytes.
+func newMemoryBudget(cfg *config.Config, share float64, defaultBytes int64) *memoryBudget {
 	b := new(memoryBudget)
-	n := int64(bufferMemoryShare * float64(cfg.MemoryMB) * (1 << 20))
+	n := int64(share * float64(cfg.MemoryMB) * (1 << 20))
 	if cfg.MemoryMB == 0 {
-		n = defaultBufferMemory
+		n = defaultBytes
 	}
 	if cfg.AcceptFD != 0 {
 		n /= 2
@@ -62,6 +63,11 @@
 	return b
 }
 
+// newBufferBudget returns the budget for buffered bodies and answers.
+func newBufferBudget(cfg *config.Config) *memoryBudget {
+	return newMemoryBudget(cfg, bufferMemoryShare, defaultBufferMemory)
+}
+
 // acquire takes n bytes from the budget. If fewer remain, it takes none and returns false. Bytes that
 // were taken must be returned with release.
 func (b *memoryBudget) acquire(n int) bool {
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -84,7 +84,7 @@
 			}
 		}
 	}
-	until(t, "the memory is returned to the budget", func() bool { return g.loop.pool.memory.remaining.Load() == newMemoryBudget(g.cfg).remaining.Load() })
+	until(t, "the memory is returned to the budget", func() bool { return g.loop.pool.memory.remaining.Load() == newBufferBudget(g.cfg).remaining.Load() })
 }
 
 // Long answers must reach the client unchanged in every framing that a host may use, and begin
--- a/internal/gateway/client_listener.go
+++ b/internal/gateway/client_listener.go
@@ -26,8 +26,11 @@
 		release()
 		return nil, err
 	}
-	c.(*framedConn).releaseSlot = release
-	return c, nil
+	framed := c.(*framedConn)
+	framed.releaseSlot = release
+	framed.headBudget = l.server.headBudget
+	framed.rejectLog = &l.server.rejectLog
+	return framed, nil
 }
 
 // acquireSlot takes a slot for the next connection. While all slots are taken it evicts a connection,
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -53,10 +53,14 @@
 	raw         syscall.RawConn // of Conn; nil for a connection without a socket, as in tests
 	closed      atomic.Bool     // Close was called, even if a request was read before
 	releaseSlot func()          // called by each Close; the first call frees the connection's slot; may be nil
+	rejectLog   *rateLimitedLog // logs heads that are not read to their end; may be nil
 
 	mu           sync.Mutex     // guards the fields below but reader; net/http reads ahead while the handler runs
 	closing      bool           // the connection is about to be closed, and nothing more is read
-	idle         bool           // no request is being served, so the next bytes belong to a new one
+	idle         bool           // a request has been answered, and the next bytes belong to a new one
+	serving      bool           // net/http has read a whole head whose request has not been answered yet
+	headBudget   *memoryBudget  // pays for the heads that are read; nil if they are not counted
+	headCharge   int            // bytes of headBudget that the present head has taken
 	idleSince    time.Time      // when idle became true last
 	arrivals     arrivalTracker // bounds the arrival time of the bytes that are read next
 	readDeadline time.Time      // current deadline of reads
@@ -73,22 +77,21 @@
 		}
 	}()
 	if c.raw == nil {
-		n, err = c.Conn.Read(p)
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.arrivals.noteEmpty(time.Now())
-		c.arrivals.noteRead(n)
-		c.parse(p[:n])
-		return n, err
+		n, err = c.readWithoutSocket(p)
+	} else {
+		n, err = c.reader.Read(p)
 	}
-	n, err = c.reader.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if c.raw != nil && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.readAfterDeadline(p, err)
 	}
 	var syscallErr *os.SyscallError
 	switch {
+	case err == errTooManyFields || err == errHeadMemory:
+		return 0, c.rejectHead(err)
+	case c.raw == nil:
+		return n, err
 	case errors.As(err, &syscallErr) || err == net.ErrClosed:
-		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+		return 0, c.readError(err)
 	case err != nil:
 		return 0, err
 	case n == 0 && len(p) > 0:
@@ -97,6 +100,25 @@
 	return n, nil
 }
 
+// readWithoutSocket reads and parses, as Read does, from a connection without a socket.
+func (c *framedConn) readWithoutSocket(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrivals.noteEmpty(time.Now())
+	c.arrivals.noteRead(n)
+	c.parse(p[:n])
+	if headErr := c.admitHead(); headErr != nil {
+		return 0, headErr
+	}
+	return n, err
+}
+
+// readError returns the error of a read that failed for the given cause. net/http sends nothing after it.
+func (c *framedConn) readError(cause error) error {
+	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: cause}
+}
+
 // readAfterDeadline reads the unread data if all of it arrived before the read deadline, although the
 // deadline has passed: the process may have been stalled, and a request that has arrived whole is
 // owed an answer. Otherwise it returns timeoutErr.
@@ -149,13 +171,15 @@
 	return laterOf(headStart, c.idleSince).Add(headerTimeout)
 }
 
-// setIdle records whether the connection is without a request that is being served.
-func (c *framedConn) setIdle(idle bool) {
+// setState records the state that net/http reports for the connection.
+func (c *framedConn) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = idle
-	if idle {
+	c.serving = state == http.StateActive
+	c.idle = state == http.StateIdle
+	if c.idle {
 		c.idleSince = time.Now()
+		c.releaseHead()
 	}
 }
 
@@ -188,6 +212,9 @@
 	}
 	c.arrivals.noteRead(n)
 	c.parse(p[:n])
+	if err := c.admitHead(); err != nil {
+		return 0, true, err
+	}
 	if n < len(p) { // nothing is left unread
 		c.boundCompletionTime(now, fd)
 		c.noteNothingUnread(now)
@@ -313,6 +340,9 @@
 func (c *framedConn) Close() error {
 	c.closed.Store(true)
 	err := c.Conn.Close()
+	c.mu.Lock()
+	c.releaseHead()
+	c.mu.Unlock()
 	if c.releaseSlot != nil {
 		c.releaseSlot()
 	}
--- a/internal/gateway/eviction.go
+++ b/internal/gateway/eviction.go
@@ -124,7 +124,7 @@
 // it can, so that descriptors do not run out while requests wait in the backlog.
 func (s *Server) trackConn(c net.Conn, state http.ConnState) {
 	if framed, ok := c.(*framedConn); ok {
-		framed.setIdle(state == http.StateIdle)
+		framed.setState(state)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/framing/framing.go
+++ b/internal/gateway/framing/framing.go
@@ -20,6 +20,7 @@
 	StartedAt  time.Time // when its first byte was read; for the first request on a connection, when that was accepted
 	CompleteAt time.Time // earliest time at which the last byte of the request can have arrived; zero until that byte is read
 
+	size                Size   // of what has been received
 	hasRequestLine      bool   // the request line has been received
 	contentLength       string // Content-Length, "" if there is none
 	hasTransferEncoding bool   // it has a Transfer-Encoding header
@@ -27,6 +28,18 @@
 	ambiguous           bool   // sender and gateway may disagree on where the request ends
 }
 
+// Size is how much of a head there is.
+type Size struct {
+	Bytes  int // with the request line and all line ends
+	Fields int // header lines, continuation lines among them
+}
+
+// MaxFields is how many header lines a head may have.
+const MaxFields = 100
+
+// Size returns the size of the head.
+func (h *Head) Size() Size { return h.size }
+
 // Unambiguous returns whether sender and gateway agree on where the request ends. r is the request
 // that net/http has read by this head.
 func (h *Head) Unambiguous(r *http.Request) bool {
@@ -46,7 +59,7 @@
 	parsingChunk
 	parsingChunkEnd // the line end after a chunk
 	parsingTrailer  // the lines after the last chunk
-	parsingStopped  // the framing is ambiguous or malformed; the connection ends after this request
+	parsingStopped  // the framing is ambiguous or malformed, or a head has too many fields; the connection ends after this request
 )
 
 // maxLineBytes is how much of a line is kept. A longer Content-Length or Transfer-Encoding line makes
@@ -63,6 +76,7 @@
 	lastHead      *Head     // head that was received last; its body may still be arriving
 	arrivedAfter  time.Time // argument of the present call of Parse
 	pendingHeads  []*Head   // heads that TakeHead has not returned yet, oldest first
+	tooManyFields bool      // a head has more than MaxFields header lines; nothing after them is parsed
 }
 
 // NewParser returns a parser for a connection that was accepted at the given time.
@@ -99,6 +113,18 @@
 	return head
 }
 
+// TooManyFields returns whether a head with more than MaxFields header lines has been received, in part
+// or whole. It is not among the heads that TakeHead returns.
+func (p *Parser) TooManyFields() bool { return p.tooManyFields }
+
+// PartialHeadSize returns the size of the head that is being received, which is zero if there is none.
+func (p *Parser) PartialHeadSize() Size {
+	if p.state != parsingHead {
+		return Size{}
+	}
+	return p.partialHead.size
+}
+
 // LastHead returns the head that was received last, or nil before the first.
 func (p *Parser) LastHead() *Head { return p.lastHead }
 
@@ -130,6 +156,9 @@
 			p.partialHead.StartedAt = readAt
 		}
 		line, rest, lineEnded := bytes.Cut(in, []byte("\n"))
+		if p.state == parsingHead {
+			p.partialHead.size.Bytes += len(in) - len(rest)
+		}
 		in = rest
 		kept := min(len(line), maxLineBytes-len(p.line))
 		p.line = append(p.line, line[:kept]...)
@@ -157,6 +186,10 @@
 			p.partialHead.hasRequestLine = true
 		case len(line) > 0:
 			p.partialHead.parseHeaderLine(line, p.lineTruncated)
+			if p.partialHead.size.Fields > MaxFields {
+				p.tooManyFields = true
+				p.state = parsingStopped
+			}
 		case p.partialHead.hasRequestLine: // empty lines ahead of a request are skipped
 			p.endHead()
 		}
@@ -185,6 +218,7 @@
 
 // parseHeaderLine parses a header line. truncated means that only its first maxLineBytes are there.
 func (h *Head) parseHeaderLine(line []byte, truncated bool) {
+	h.size.Fields++
 	if line[0] == ' ' || line[0] == '\t' { // continuation of the last line
 		h.ambiguous = h.ambiguous || h.lastLineIsFraming
 		return
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -82,7 +82,7 @@
 		maxConns:    cfg.Sockets * maxHostConnPercent / 100,
 		connBudget:  cfg.Sockets * maxHostConnPercent / 100,
 		idle:        map[*host][]*conn{},
-		memory:      newMemoryBudget(cfg),
+		memory:      newBufferBudget(cfg),
 		audit:       &Audit{},
 	}
 	p.setDrainGrace(cfg.Settings.DrainGrace)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -51,6 +51,7 @@
 	loop       *Loop
 	http       http.Server
 	connBudget int // number of client connections above which some are evicted; see clientConnBudgetPercent
+	headBudget *memoryBudget
 
 	rejectLog rateLimitedLog
 
@@ -73,7 +74,8 @@
 	s := &Server{
 		cfg: cfg, loop: loop, connBudget: cfg.Sockets * clientConnBudgetPercent / 100,
 		conns: map[net.Conn]connState{}, shutdownStarted: make(chan struct{}),
-		connSlots: make(chan struct{}, cfg.Sockets*maxClientConnPercent/100),
+		connSlots:  make(chan struct{}, cfg.Sockets*maxClientConnPercent/100),
+		headBudget: newHeadBudget(cfg),
 	}
 	s.http = http.Server{
 		Handler:           http.HandlerFunc(s.serve), // no ServeMux, which would clean paths and redirect
@@ -83,7 +85,7 @@
 		ReadTimeout:       requestTimeout,
 		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeadBytes, // bounds a connection's share of the memory limit
+		MaxHeaderBytes:    maxHeadBytes, // framedConn bounds the fields and the memory of heads
 
 		DisableGeneralOptionsHandler: true,
 	}
