Begin no attempt unless the client is known to have been there a moment ago

A test of our own: also behind thousands of requests written at once.

Cause: the end of a connection stands behind unread bytes. clientGone polled the socket, but of a body of 1 MB 256 KiB were taken ahead, the rest and the end stayed in the client's socket; of requests behind requests nothing was. Ruled out: the receive buffer not being set, and the poll, which sees an end as soon as what is before it fits.

Fix: before the first byte of an attempt the client must be known to have been there 50 ms ago, by the bounds that arrival.go has for the times of requests. If that is longer ago, bytes are read ahead into memory, charged to the budget for bodies, until they show that it is there or has left; if neither, the request is not sent, and the module refuses it or fails it if it may have run. A read that empties the socket of a client that pipelines no longer counts as proof that it holds nothing back.

TestNoAttemptForClientGoneBehindMoreThanReceiveBuffer failed before in all three cases (4, 4, 6 requests sent, not 1).

--- a/internal/gateway/arrival.go
+++ b/internal/gateway/arrival.go
@@ -95,7 +95,14 @@
 
 // noteUnread records how many bytes wait to be read. If they are many, the sender may be blocked.
 func (a *arrivalTracker) noteUnread(now time.Time, unread int) {
-	if unread < blockedSenderUnread || a.senderMayBeBlocked() && a.totalRead-a.lastBoundOffset < sendBoundInterval {
+	if unread >= blockedSenderUnread {
+		a.noteBlocked(now, unread)
+	}
+}
+
+// noteBlocked records that the sender may be blocked, as a number of bytes waits to be read.
+func (a *arrivalTracker) noteBlocked(now time.Time, unread int) {
+	if a.senderMayBeBlocked() && a.totalRead-a.lastBoundOffset < sendBoundInterval {
 		return
 	}
 	if len(a.sendBounds) == maxSendBounds {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,6 +29,8 @@
 	chargedFrom time.Time     // start of the time that is charged to the host: the start of the attempt, or the end of sending an upload
 	chargedTime time.Duration // time charged to the host; zero if that is the time from chargedFrom until the attempt ends
 
+	clientUnconfirmed bool // the client may have left, and the request must not be sent; set before the attempt ends
+
 	written   atomic.Bool // the request was written whole, and conn and writtenAt are set
 	conn      *conn
 	writtenAt time.Time
@@ -116,7 +118,8 @@
 
 // checkSendable returns whether the request may be sent and, if not, the result of the attempt. The dial
 // may have taken long: the host may have begun to drain, the request may have been answered, or its
-// client may have left, which the HTTP server does not notice while bytes from the client are unread.
+// client may have left, which the HTTP server does not notice while bytes from the client are unread. A
+// request whose client may have left is not sent at all.
 func (p *Pool) checkSendable(ctx context.Context, h *host, x *exchange, att *attempt) (result bramblelock.Result, sendable bool) {
 	switch {
 	case att.writeDeadlinePassed():
@@ -125,6 +128,10 @@
 		return unsentResult(ctx), false
 	}
 	p.awaitOverdueUpdate(ctx)
+	if x.clientConn != nil && !x.clientConn.awaitPresence(ctx, p.memory) {
+		att.clientUnconfirmed = ctx.Err() == nil
+		return unsentResult(ctx), false
+	}
 	if !p.permit(h, x) || att.writeDeadlinePassed() {
 		return bramblelock.NotSent, false
 	}
--- a/internal/gateway/client_gone_test.go
+++ b/internal/gateway/client_gone_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"bramblelock"
 )
@@ -133,6 +137,56 @@
 	}
 }
 
+// Clients write more than the receive buffer of their connections takes, and leave: the ends of their
+// connections stay in their own sockets, behind a body of 1 or 3 MB or thousands of requests. No attempt may
+// begin later than goneClientSlack after that. Before, such a request was sent whenever a host came up
+// (review/8: 70 of 582), as the end of the connection was looked for without reading what hid it.
+func TestNoAttemptForClientGoneBehindMoreThanReceiveBuffer(t *testing.T) {
+	longBody := func(n int) string {
+		return head("POST /api/1 HTTP/1.1", "id-1", fmt.Sprintf("Content-Length: %d\r\n", n)) + string(testBytes(n))
+	}
+	for name, text := range map[string]string{
+		"a body of 1 MB":        longBody(1 << 20),
+		"a body of 3 MB":        longBody(3 << 20),
+		"thousands of requests": strings.Repeat(lookHead, 5000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			const leaving = 5
+			host := newHost(t, answerWith(okAnswer))
+			cfg := testConfig(host)
+			for i := range cfg.Settings.Classes {
+				cfg.Settings.Classes[i].LatencyTarget = cfg.Settings.Classes[i].Deadline // requests wait in the queue for a share of that
+			}
+			cfg.Known.Servers[0].State = "draining"
+			g := startGateway(t, cfg)
+			var clients sync.WaitGroup
+			for range leaving {
+				c := g.openConn("")
+				clients.Go(func() {
+					io.WriteString(c, text) // returns once the sockets have taken it
+					c.Close()
+				})
+			}
+			clients.Wait()
+			time.Sleep(goneClientSlack)
+			remaining := g.openConn(lookHead)
+			until(t, "the client that stays waits", func() bool { return g.openRequests() >= 1 })
+			cfg.Known.Servers[0].State = "ready"
+			g.loop.HandleList(bramblelock.ListFull, cfg.Known)
+			if resp, err := http.ReadResponse(bufio.NewReader(remaining), nil); err != nil || resp.StatusCode != 200 {
+				t.Errorf("the client that stayed got %v, %v", resp, err)
+			}
+			until(t, "all requests are released", func() bool { return g.openRequests() == 0 })
+			if n, _, _ := host.counts(); n != 1 {
+				t.Errorf("the host got %d requests, one client stayed", n)
+			}
+			until(t, "the memory is returned to the budget", func() bool {
+				return g.loop.pool.memory.remaining.Load() == newBufferBudget(g.cfg).remaining.Load()
+			})
+		})
+	}
+}
+
 func testGoneClients(t *testing.T, head string, leave func(net.Conn)) {
 	host := newHost(t, answerWith(okAnswer))
 	cfg := testConfig(host)
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -59,6 +59,7 @@
 	closing      bool           // the connection is about to be closed, and nothing more is read
 	idle         bool           // a request has been answered, and the next bytes belong to a new one
 	serving      bool           // net/http has read a whole head whose request has not been answered yet
+	ahead        []aheadChunk   // bytes that were read and parsed before net/http asked for them, in their order
 	headBudget   *memoryBudget  // pays for the heads that are read; nil if they are not counted
 	headCharge   int            // bytes of headBudget that the present head has taken
 	idleSince    time.Time      // when idle became true last
@@ -128,7 +129,7 @@
 		unread, _ := socket.UnreadBytes(int(fd))
 		age, ok := socket.LastDataAge(int(fd))
 		c.mu.Lock()
-		inTime := ok && unread > 0 && time.Now().Add(-age).Before(c.readDeadline)
+		inTime := len(c.ahead) > 0 || ok && unread > 0 && time.Now().Add(-age).Before(c.readDeadline)
 		c.mu.Unlock()
 		if inTime {
 			n, _, err = c.readAvailable(int(fd), p, &time.Time{})
@@ -188,15 +189,27 @@
 	c.parser.Parse(in, time.Now(), c.arrivals.arrivedAfter(c.arrivals.totalRead))
 }
 
-// readAvailable reads the bytes that have arrived. If there are none it returns false for done and
-// stores in waitingSince when its caller began to wait. If waitingSince is not zero when it is called,
-// its caller has been woken up. It returns net.ErrClosed if the connection is about to be closed.
+// readAvailable returns bytes that were read ahead or, if there are none, reads those that have arrived, as
+// readSocket does. It returns net.ErrClosed if the connection is about to be closed.
 func (c *framedConn) readAvailable(fd int, p []byte, waitingSince *time.Time) (n int, done bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
 		return 0, true, net.ErrClosed
 	}
+	if len(c.ahead) > 0 && len(p) > 0 {
+		if err := c.admitHead(); err != nil {
+			return 0, true, err
+		}
+		return c.takeAhead(p), true, nil
+	}
+	return c.readSocket(fd, p, waitingSince)
+}
+
+// readSocket reads the bytes that have arrived. If there are none it returns false for done and stores in
+// waitingSince when its caller began to wait. If waitingSince is not zero when it is called, its caller has
+// been woken up. The caller holds c.mu.
+func (c *framedConn) readSocket(fd int, p []byte, waitingSince *time.Time) (n int, done bool, err error) {
 	now := time.Now()
 	n, err = socket.RetryInterrupted(func() (int, error) { return syscall.Read(fd, p) })
 	if err == syscall.EAGAIN {
@@ -225,13 +238,22 @@
 }
 
 // noteNothingUnread records that no bytes were left to read, unless the client's socket may still
-// hold some back. After a whole request it holds none, as the client waits for its answer.
+// hold some back. After a whole request it holds none if the client waits for its answer.
 func (c *framedConn) noteNothingUnread(now time.Time) {
-	if c.parser.InHead() || !c.arrivals.senderMayBeBlocked() {
+	if c.parser.InHead() && !c.pipelining() || !c.arrivals.senderMayBeBlocked() {
 		c.arrivals.noteEmpty(now)
 	}
 }
 
+// pipelining returns whether more than one request of the client is known that has not been answered.
+func (c *framedConn) pipelining() bool {
+	requests := c.parser.PendingHeads()
+	if c.serving {
+		requests++
+	}
+	return requests > 1 || requests == 1 && c.parser.HasPartialHead()
+}
+
 // boundCompletionTime bounds the arrival time of a request that ends with the byte that was read last.
 func (c *framedConn) boundCompletionTime(now time.Time, fd int) {
 	last := c.parser.LastHead()
@@ -342,6 +364,7 @@
 	err := c.Conn.Close()
 	c.mu.Lock()
 	c.releaseHead()
+	c.releaseAhead()
 	c.mu.Unlock()
 	if c.releaseSlot != nil {
 		c.releaseSlot()
--- a/internal/gateway/framing/framing.go
+++ b/internal/gateway/framing/framing.go
@@ -37,9 +37,6 @@
 // MaxFields is how many header lines a head may have.
 const MaxFields = 100
 
-// Size returns the size of the head.
-func (h *Head) Size() Size { return h.size }
-
 // Unambiguous returns whether sender and gateway agree on where the request ends. r is the request
 // that net/http has read by this head.
 func (h *Head) Unambiguous(r *http.Request) bool {
@@ -103,6 +100,17 @@
 // HasPendingHead returns whether TakeHead would return a head.
 func (p *Parser) HasPendingHead() bool { return len(p.pendingHeads) > 0 }
 
+// PendingHeads returns how many heads TakeHead would return one after another.
+func (p *Parser) PendingHeads() int { return len(p.pendingHeads) }
+
+// PendingHeadSize returns the size of the head that TakeHead would return, which is zero if there is none.
+func (p *Parser) PendingHeadSize() Size {
+	if len(p.pendingHeads) == 0 {
+		return Size{}
+	}
+	return p.pendingHeads[0].size
+}
+
 // TakeHead returns the oldest head that it has not returned yet, or nil if there is none.
 func (p *Parser) TakeHead() *Head {
 	if len(p.pendingHeads) == 0 {
--- a/internal/gateway/head_memory.go
+++ b/internal/gateway/head_memory.go
@@ -83,7 +83,7 @@
 	case c.serving:
 		return nil
 	case c.parser.HasPendingHead(): // what follows it is looked at once its request has been answered
-		return c.chargeHead(c.parser.LastHead().Size())
+		return c.chargeHead(c.parser.PendingHeadSize())
 	case c.parser.TooManyFields():
 		return errTooManyFields
 	}
--- a/internal/gateway/loop_actions.go
+++ b/internal/gateway/loop_actions.go
@@ -115,7 +115,8 @@
 		took = max(0, now-l.clock.at(att.chargedFrom))
 	}
 	l.balancer.Outcome(now, bramblelock.Outcome{
-		Request: x.id, Attempt: n, Result: result, Elapsed: took, Answered: x.finished.Load(), NotReplayable: x.bodyConsumed(),
+		Request: x.id, Attempt: n, Result: result, Elapsed: took, Answered: x.finished.Load(),
+		NotReplayable: x.bodyConsumed() || att.clientUnconfirmed,
 	})
 	l.releaseIfDone(x)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -80,6 +80,7 @@
 		if s.limitReadAhead(r) {
 			x.releaseBody = func() { s.loop.pool.memory.release(readAheadBytes) }
 		}
+		x.readUploadAhead(s.loop.pool.memory)
 		return nil
 	}
 	x.releaseBody = func() { s.loop.pool.memory.release(size) }
@@ -95,10 +96,18 @@
 		if s.limitReadAhead(r) {
 			x.releaseBody = func() { s.loop.pool.memory.release(size + readAheadBytes) }
 		}
+		x.readUploadAhead(s.loop.pool.memory)
 	}
 	return nil
 }
 
+// readUploadAhead reads the beginning of an upload into memory, unless its client waits to be asked for it.
+func (x *exchange) readUploadAhead(memory *memoryBudget) {
+	if x.clientConn != nil && x.header.Get("Expect") == "" {
+		x.clientConn.readBodyAhead(x.head, memory)
+	}
+}
+
 // limitReadAhead has the kernel receive only readAheadBytes of a long body ahead, if the memory budget
 // allows as much, and returns whether it does. Otherwise the kernel may take the whole of a body that its
 // host reads slowly, and since anything may then be waiting, the request's time would have to be counted
