Size connections, uploads and buffers by the memory limit too, and refuse what does not fit

Callers saw: with hundreds of peers that stopped within a body, sent one slowly or read slowly, a gateway of 32 MB and 1,024 descriptors passed its limit and was killed.

Cause: connections followed from descriptors alone; a body without room in the budget was streamed to a host, which takes more than the body and a place at the host; buffers of answers of unknown length grew to twice what was counted, and stayed until the client had read all. Evidence: heap profiles, 25 MB live and 8.5 MB of stacks against a soft limit of 22.4 MB. Ruled out: heads (their own budget), silent connections (22 MB).

An upload counts; a body without room is refused with 503 before anything is sent and the connection whose body is awaited for longest makes room. A stopped upload can make room. A recently used idle connection goes last. Soft limit 0.75 of the memory, as collections took the time.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -24,7 +24,7 @@
 
 // memoryLimitFraction is the fraction of the configured memory that is set as the soft limit of the
 // Go runtime. The rest is for stacks, the binary and memory that the kernel holds for the process.
-const memoryLimitFraction = 0.7
+const memoryLimitFraction = 0.75
 
 func main() {
 	log := logwriter.Install(logLevel(os.Getenv("GW_LOG")))
--- a/cmd/gateway/peers_test.go
+++ b/cmd/gateway/peers_test.go
@@ -182,6 +182,18 @@
 	}
 }
 
+// Peers stop within a body, send one slowly, or read a long answer slowly, more of them than a gateway with the least
+// memory and many descriptors can hold. It was sized by its descriptors alone, and streamed to hosts what it had no
+// memory to buffer, which takes more: 600 peers took a gateway of 32 MB to 46, 38, 38 and 54 MB (the latter with one
+// long field, see head_memory.go).
+func TestPeersStayWithinLeastMemory(t *testing.T) {
+	for _, kind := range []string{
+		peerload.HalfShortBody, peerload.HalfLongBody, peerload.SlowLongBody, peerload.SlowReader, peerload.LongFieldSlowly,
+	} {
+		t.Run(kind, func(t *testing.T) { playPeers(t, 32, 1024, kind, 600, bookDeadline) })
+	}
+}
+
 // A few clients send requests that are rejected as fast as they can. Each kept the core for the scheduler's time slice
 // whenever its turn came, and the requests of others, which pass through several goroutines, were answered seconds late.
 func TestFloodsLeaveTurnsToOthers(t *testing.T) {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -88,11 +88,11 @@
 // readAnswerBody sets the body or the stream of an answer. If it fails, it sets neither.
 func (c *conn) readAnswerBody(resp *http.Response, a *answer, memory *memoryBudget) error {
 	st := &stream{conn: c, body: resp.Body, length: resp.ContentLength, done: make(chan error, 1)}
-	size := maxBufferedBytes
+	size, acquire := maxBufferedBytes, memory.acquireSpare // an answer of unknown length is often long
 	if st.length >= 0 && st.length < maxBufferedBytes {
-		size = int(st.length)
+		size, acquire = int(st.length), memory.acquire
 	}
-	if st.length > maxBufferedBytes || !memory.acquire(size) {
+	if st.length > maxBufferedBytes || !acquire(size) {
 		// The first byte of the body must have arrived before the stream begins: until then the
 		// request can be retried.
 		if _, err := c.reader.Peek(1); err != nil {
@@ -106,11 +106,11 @@
 		memory.release(size)
 		return err
 	}
-	a.release = func() { memory.release(size) }
+	release := func() { memory.release(size) }
 	if whole {
-		a.body = body
+		a.body, a.release = body, release
 	} else {
-		st.prefix, a.stream = body, st
+		st.prefix, st.releasePrefix, a.stream = body, release, st
 	}
 	return nil
 }
@@ -128,7 +128,7 @@
 			}
 		}
 		if len(body) == cap(body) {
-			body = slices.Grow(body, len(body))
+			body = slices.Grow(body, min(len(body), maxBufferedBytes+1-len(body)))
 		}
 		n, err := resp.Body.Read(body[len(body):min(cap(body), maxBufferedBytes+1)])
 		body = body[:len(body)+n]
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -318,6 +318,7 @@
 // head of the answer.
 func (c *conn) streamToClient(x *exchange, att *attempt, a answer, keep bool) (bramblelock.Result, bool) {
 	if !att.startStreaming(x, a) {
+		a.stream.dropPrefix()
 		return bramblelock.Canceled, false
 	}
 	err := <-a.stream.done
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -6,10 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
-
-	"bramblelock/internal/gateway/config"
 )
 
 const (
@@ -20,11 +17,12 @@
 	// client has left, as the end of the connection comes after the body.
 	readAheadBytes    = 256 << 10
 	streamBufferBytes = 16 << 10 // size of the buffer of a stream
-
-	// Buffered bodies and answers together use up to this share of the memory limit. Two processes
-	// share it during an upgrade.
-	bufferMemoryShare   = 0.25
-	defaultBufferMemory = 64 << 20 // in bytes; used without a memory limit
+	smallStreamBytes  = 4 << 10  // size of the buffer of a stream for which the budget has no room
+	// freeBodyBytes of a body are not counted: the memory of its connection covers them.
+	freeBodyBytes = 4 << 10
+	// uploadMemory is what a body that is streamed to a host takes, in bytes: the buffer of the stream, and the
+	// connection to the host with its goroutines.
+	uploadMemory = 40 << 10
 
 	// An answer of unknown length that is incomplete this long after its head is streamed, so that
 	// the part that has arrived is not held back.
@@ -44,48 +42,29 @@
 	// What a client still sends after an early answer is read for this long: closing the connection
 	// earlier would reset it and destroy the answer.
 	bodyDrainTime = time.Second
+	// crowdedDrainTime is the same while all connection slots are taken.
+	crowdedDrainTime = 200 * time.Millisecond
 )
 
-// memoryBudget limits how many bytes all requests together may hold for one purpose.
-type memoryBudget struct{ remaining atomic.Int64 }
+// streamBuffers holds buffers for streams: one for each direction of a stream in progress.
+var streamBuffers = sync.Pool{New: func() any { return new([streamBufferBytes]byte) }}
 
-// newMemoryBudget returns a budget of a share of the memory limit or, without a limit, of defaultBytes.
-func newMemoryBudget(cfg *config.Config, share float64, defaultBytes int64) *memoryBudget {
-	b := new(memoryBudget)
-	n := int64(share * float64(cfg.MemoryMB) * (1 << 20))
-	if cfg.MemoryMB == 0 {
-		n = defaultBytes
-	}
-	if cfg.AcceptFD != 0 {
-		n /= 2
+// streamBuffer returns a buffer for a stream, a small one if the budget has no room, and the function that
+// returns it.
+func streamBuffer(memory *memoryBudget) (buffer []byte, release func()) {
+	if !memory.acquireSpare(streamBufferBytes) {
+		return make([]byte, smallStreamBytes), func() {}
 	}
-	b.remaining.Store(n)
-	return b
-}
-
-// newBufferBudget returns the budget for buffered bodies and answers.
-func newBufferBudget(cfg *config.Config) *memoryBudget {
-	return newMemoryBudget(cfg, bufferMemoryShare, defaultBufferMemory)
-}
-
-// acquire takes n bytes from the budget. If fewer remain, it takes none and returns false. Bytes that
-// were taken must be returned with release.
-func (b *memoryBudget) acquire(n int) bool {
-	if b.remaining.Add(int64(-n)) >= 0 {
-		return true
+	pooled := streamBuffers.Get().(*[streamBufferBytes]byte)
+	return pooled[:], func() {
+		streamBuffers.Put(pooled)
+		memory.release(streamBufferBytes)
 	}
-	b.remaining.Add(int64(n))
-	return false
 }
 
-// release returns n bytes to the budget.
-func (b *memoryBudget) release(n int) { b.remaining.Add(int64(n)) }
-
-// streamBuffers holds buffers for streams: one for each direction of a stream in progress.
-var streamBuffers = sync.Pool{New: func() any { return new([streamBufferBytes]byte) }}
-
 var (
 	errBodyTooLong = errors.New("the body is too long")
+	errNoMemory    = errors.New("no memory is left for the body, trying again is harmless")
 	errReadStopped = errors.New("gateway: the request has its answer")
 	errClientGone  = errors.New("gateway: the client takes no more")
 )
@@ -162,11 +141,21 @@
 	length int64  // of the whole answer; -1 if unknown
 	prefix []byte // the part that has been read already
 	done   chan error
+
+	releasePrefix func() // returns the memory of prefix to the budget; nil if there is none
+}
+
+// dropPrefix returns the memory of the prefix. The stream may last much longer than it takes to write that.
+func (st *stream) dropPrefix() {
+	if st.releasePrefix != nil {
+		st.releasePrefix()
+	}
+	st.prefix, st.releasePrefix = nil, nil
 }
 
 // copyTo writes a stream to the client and returns the error that cut it short, if any: errClientGone
 // if the client has left or is stalled, otherwise the error of reading from the host.
-func (st *stream) copyTo(w http.ResponseWriter, r *http.Request) error {
+func (st *stream) copyTo(w http.ResponseWriter, r *http.Request, memory *memoryBudget) error {
 	// The client may leave while the host is silent.
 	stop := context.AfterFunc(r.Context(), func() { st.conn.SetReadDeadline(time.Now()) })
 	defer stop()
@@ -181,17 +170,19 @@
 		}
 		return nil
 	}
+	defer st.dropPrefix()
 	if err := write(st.prefix); err != nil {
 		return err
 	}
-	buf := streamBuffers.Get().(*[streamBufferBytes]byte)
-	defer streamBuffers.Put(buf)
+	st.dropPrefix()
+	buf, release := streamBuffer(memory)
+	defer release()
 	for {
 		st.conn.SetReadDeadline(time.Now().Add(hostStallTimeout))
 		if r.Context().Err() != nil {
 			return errClientGone
 		}
-		n, err := st.body.Read(buf[:])
+		n, err := st.body.Read(buf)
 		if n > 0 {
 			if err := write(buf[:n]); err != nil {
 				return err
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -264,7 +264,7 @@
 	close(end)
 	a := <-x.answer
 	w := httptest.NewRecorder()
-	a.stream.done <- a.stream.copyTo(deadlineRecorder{w}, httptest.NewRequest("GET", "/", nil))
+	a.stream.done <- a.stream.copyTo(deadlineRecorder{w}, httptest.NewRequest("GET", "/", nil), p.memory)
 	if result := <-done; result != bramblelock.OK || w.Body.Len() != 100_000 {
 		t.Errorf("result %v, %d bytes", result, w.Body.Len())
 	}
--- a/internal/gateway/bubble_gateway_test.go
+++ b/internal/gateway/bubble_gateway_test.go
@@ -67,8 +67,8 @@
 	x := &exchange{
 		method: "GET", uri: "/api/" + strconv.Itoa(n), host: "service", answer: make(chan answer, 1),
 		header:      http.Header{requestIDHeader: {strconv.Itoa(n)}, "X-Priority-Class": {"look"}},
-		releaseBody: func() {}, capDeadline: func(t time.Time) time.Time { return t },
-		timeout: 4 * time.Second, deadline: time.Now().Add(4 * time.Second), rules: &g.cfg.Rules,
+		capDeadline: func(t time.Time) time.Time { return t },
+		timeout:     4 * time.Second, deadline: time.Now().Add(4 * time.Second), rules: &g.cfg.Rules,
 	}
 	g.loop.Submit(x)
 	return x
--- a/internal/gateway/client_answer.go
+++ b/internal/gateway/client_answer.go
@@ -5,10 +5,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 )
 
+// drainBufferBytes is the size of the buffer for bytes that are read and dropped.
+const drainBufferBytes = 1 << 10
+
 // writeAnswer sends a client the final answer to its request.
 func (s *Server) writeAnswer(w http.ResponseWriter, r *http.Request, x *exchange, a answer) {
 	if a.release != nil {
@@ -22,7 +26,7 @@
 	}
 	if a.stream != nil {
 		setHeaders(w, a.header, a.stream.length)
-		err := a.stream.copyTo(w, r)
+		err := a.stream.copyTo(w, r, s.loop.pool.memory)
 		a.stream.done <- err
 		if err != nil {
 			abort(r, a.stream.length)
@@ -31,7 +35,7 @@
 	}
 	writeBuffered(w, a)
 	if bodyUnread {
-		discardBody(w, r)
+		s.discardBody(w, r)
 	}
 }
 
@@ -48,16 +52,41 @@
 }
 
 // discardBody reads for a while what the client still sends of a body whose request has been
-// answered: closing the connection at once would reset it and could destroy the answer.
-func discardBody(w http.ResponseWriter, r *http.Request) {
+// answered: closing the connection at once would reset it and could destroy the answer. While clients wait
+// for a connection slot, it reads for crowdedDrainTime only, and closes the connection itself.
+func (s *Server) discardBody(w http.ResponseWriter, r *http.Request) {
 	c, ok := r.Context().Value(framedConnKey{}).(*framedConn)
 	rc := http.NewResponseController(w)
 	if !ok || r.Header.Get("Expect") != "" || rc.Flush() != nil {
 		return
 	}
-	rc.SetReadDeadline(time.Now().Add(bodyDrainTime))
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		io.Copy(io.Discard, c.Conn) // the framing of the body is broken, or reading it was stopped
+	end := time.Now().Add(bodyDrainTime)
+	rc.SetReadDeadline(time.Now().Add(crowdedDrainTime))
+	if drain(r.Body) == io.EOF {
+		return
+	}
+	// The framing of the body is broken, reading it was stopped, or more is to come: the rest is read as it is.
+	for time.Now().Before(end) {
+		if s.allSlotsTaken() {
+			c.Close()
+			panic(http.ErrAbortHandler) // net/http would keep the connection for another while
+		}
+		rc.SetReadDeadline(time.Now().Add(crowdedDrainTime))
+		if err := drain(c.Conn); !errors.Is(err, os.ErrDeadlineExceeded) {
+			return // the client has closed the connection
+		}
+	}
+}
+
+// drain reads r until an error, which it returns. io.Copy would take a larger buffer, of which a crowd of
+// clients whose requests are rejected would hold many.
+func drain(r io.Reader) error {
+	buffer := make([]byte, drainBufferBytes)
+	for {
+		if _, err := r.Read(buffer); err != nil {
+			return err
+		}
+		yieldTurn()
 	}
 }
 
@@ -72,7 +101,7 @@
 		"status", status, "err", err)
 	writeText(w, status, err.Error())
 	if r.ContentLength != 0 {
-		discardBody(w, r)
+		s.discardBody(w, r)
 	}
 	yieldTurn()
 }
@@ -112,8 +141,11 @@
 
 // rejectionStatus returns the HTTP status of the answer to a request that is rejected for err.
 func rejectionStatus(err error) int {
-	if errors.Is(err, errBodyTooLong) {
+	switch {
+	case errors.Is(err, errBodyTooLong):
 		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, errNoMemory):
+		return http.StatusServiceUnavailable
 	}
 	return http.StatusBadRequest
 }
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -64,6 +64,7 @@
 	headCharge   int            // bytes of headBudget that the present head has taken
 	idleSince    time.Time      // when idle became true last
 	arrivals     arrivalTracker // bounds the arrival time of the bytes that are read next
+	lastReadAt   time.Time      // when bytes were last read from the socket
 	readDeadline time.Time      // current deadline of reads
 	reader       socket.Reader  // used by Read alone, without mu
 	parser       framing.Parser
@@ -226,6 +227,7 @@
 	if !waitingSince.IsZero() {
 		c.arrivals.noteWakeup(now, *waitingSince)
 	}
+	c.lastReadAt = now
 	c.arrivals.noteRead(n)
 	c.parse(p[:n])
 	if err := c.admitHead(); err != nil {
--- a/internal/gateway/eviction.go
+++ b/internal/gateway/eviction.go
@@ -14,6 +14,9 @@
 	// so by then, and a peer that sends nothing, or never the end of a head or body, must not keep
 	// others waiting. An idle connection can be closed at any age.
 	minEvictionAge = 500 * time.Millisecond
+	// restedAge is how long a connection must have been idle to be closed ahead of those that lack a
+	// whole head or body: its client may use it again soon, and a new one may have to wait for a slot.
+	restedAge = 2 * time.Second
 	// evictionInterval is the time between two evictions while all slots are taken.
 	evictionInterval = 20 * time.Millisecond
 )
@@ -31,9 +34,10 @@
 
 const (
 	notEvictable     evictionClass = iota // a request is being served, or has had less than minEvictionAge to arrive
-	evictIdle                             // the connection has had an answer and nothing of a request since, for any time
+	evictRested                           // the connection has had an answer and nothing of a request since, for restedAge
 	evictWithoutHead                      // new, or part of the next head has been read, for minEvictionAge, and no whole head has arrived
-	evictWithoutBody                      // its body has been read for minEvictionAge and has not arrived whole
+	evictWithoutBody                      // its short body has been read for minEvictionAge and has not arrived whole, or nothing of a long one has come for as long
+	evictIdle                             // the same as evictRested, for any time
 )
 
 // evictionClass returns the class of a connection by its state, and since when it has had it.
@@ -45,7 +49,10 @@
 	switch {
 	case cs.state == http.StateIdle:
 		headStart := partialHeadStart(c)
-		if headStart.IsZero() {
+		switch {
+		case headStart.IsZero() && time.Since(since) >= restedAge:
+			return evictRested, since
+		case headStart.IsZero():
 			return evictIdle, since
 		}
 		class, since = evictWithoutHead, laterOf(since, headStart)
@@ -53,6 +60,12 @@
 		class = evictWithoutHead
 	case cs.readingBody:
 		class = evictWithoutBody
+	default:
+		lastPiece := incompleteBodyReadAt(c)
+		if lastPiece.IsZero() {
+			return notEvictable, since
+		}
+		class, since = evictWithoutBody, lastPiece
 	}
 	if time.Since(since) < minEvictionAge {
 		return notEvictable, since
@@ -75,6 +88,21 @@
 	return framed.parser.HeadStartedAt()
 }
 
+// incompleteBodyReadAt returns when bytes of the body that is arriving were last read, or the zero time if none is
+// arriving.
+func incompleteBodyReadAt(c net.Conn) time.Time {
+	framed, ok := c.(*framedConn)
+	if !ok {
+		return time.Time{}
+	}
+	framed.mu.Lock()
+	defer framed.mu.Unlock()
+	if framed.parser.InHead() {
+		return time.Time{}
+	}
+	return framed.lastReadAt
+}
+
 // evictConn closes a connection, unless it is not evictable or more has arrived on it than its class
 // says, and returns whether it did.
 func evictConn(c net.Conn, class evictionClass) (closed bool) {
@@ -82,7 +110,7 @@
 	switch {
 	case !ok || class == notEvictable:
 		return false
-	case class == evictIdle:
+	case class == evictRested || class == evictIdle:
 		closed = framed.closeIfIdle()
 	case class == evictWithoutHead:
 		closed = framed.closeIfNoHead()
@@ -97,7 +125,7 @@
 
 // String describes what the connection holds or lacks, for the log.
 func (c evictionClass) String() string {
-	return [...]string{"holds a request", "rests", "brings no head", "brings no body"}[c]
+	return [...]string{"holds a request", "rests", "brings no head", "brings no body", "is idle"}[c]
 }
 
 // receivingHead returns whether part of a head has arrived on a connection, the first byte of it
@@ -112,14 +140,6 @@
 	return time.Since(framed.parser.HeadStartedAt()) < maxAge
 }
 
-// overBudget returns whether there are more connections than the budget, as when too few can be
-// evicted. Connections are then closed after their next answer.
-func (s *Server) overBudget() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.conns) > s.connBudget
-}
-
 // trackConn records the state of a client's connection. Above the budget it evicts a connection, if
 // it can, so that descriptors do not run out while requests wait in the backlog.
 func (s *Server) trackConn(c net.Conn, state http.ConnState) {
@@ -149,8 +169,25 @@
 	s.evictLocked()
 }
 
-// evictLocked closes the connection that has been idle for longest or, if no idle one can be closed,
-// one that has sent no whole request for minEvictionAge. The caller holds s.mu. The candidates are
+// evictWaitingBody evicts the connection whose body has been read for longest and has not arrived whole, if one
+// has been read for minEvictionAge.
+func (s *Server) evictWaitingBody() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	oldest := evictionCandidate{}
+	for c, cs := range s.conns {
+		class, since := cs.evictionClass(c)
+		if class == evictWithoutBody && (oldest.conn == nil || since.Before(oldest.since)) {
+			oldest = evictionCandidate{c, class, since}
+		}
+	}
+	if oldest.conn != nil && evictConn(oldest.conn, oldest.class) {
+		delete(s.conns, oldest.conn)
+	}
+}
+
+// evictLocked closes the connection with the lowest evictionClass that can be closed, and of these the one
+// that has been in its state for longest. The caller holds s.mu. The candidates are
 // sorted once and each is checked once, in place of a new search after each one that cannot be
 // closed: many may have received bytes that are not read yet, and none of those can be closed.
 func (s *Server) evictLocked() {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -19,7 +19,7 @@
 	header            http.Header
 	body              []byte  // the buffered part of the body: all of it, unless there is an upload
 	upload            *upload // the rest of the body, streamed to a host; nil if there is none
-	releaseBody       func()  // returns the memory of the body, buffered or read ahead, to the budget
+	memoryHeld        int     // bytes of the budget that the body holds, buffered or read ahead; owned by the handler
 
 	rules         *config.Rules // rules under which class and tenant were looked up
 	class, tenant int
@@ -85,6 +85,7 @@
 		a.release()
 	}
 	if a.stream != nil {
+		a.stream.dropPrefix()
 		a.stream.done <- errClientGone
 	}
 }
--- a/internal/gateway/head_memory.go
+++ b/internal/gateway/head_memory.go
@@ -17,9 +17,6 @@
 // until its request has been answered.
 
 const (
-	headMemoryShare   = 0.1      // share of the memory limit for the heads of all requests
-	defaultHeadMemory = 16 << 20 // in bytes; used without a memory limit
-
 	// freeHeadMemory is what a head may cost without being counted, in bytes: connMemory covers it.
 	freeHeadMemory = 4 << 10
 	// headFieldMemory is what a field of a head costs beside its text, in bytes.
--- /dev/null
+++ b/internal/gateway/memory_test.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"bramblelock/internal/gateway/config"
+)
+
+// The connections of clients have their shares of the descriptors and of the memory, and always the third of the
+// descriptors that clients use for their requests.
+func TestMaxClientConns(t *testing.T) {
+	for _, c := range []struct{ memoryMB, sockets, want int }{
+		{0, 1024, 614}, {192, 1024, 614}, {64, 1024, 614}, {64, 384, 230}, {32, 256, 153}, {32, 1024, 368},
+	} {
+		got := maxClientConns(&config.Config{MemoryMB: c.memoryMB, Sockets: c.sockets})
+		if got != c.want {
+			t.Errorf("%d MB and %d descriptors: %d connections, want %d", c.memoryMB, c.sockets, got, c.want)
+		}
+		if got < c.sockets/3 {
+			t.Errorf("%d MB and %d descriptors: %d connections, fewer than a third", c.memoryMB, c.sockets, got)
+		}
+	}
+}
+
+// A body for which the budget has no room is refused, however long it is, and is not streamed to a host instead: each
+// stream takes more memory than the body. A peer that has stopped within its body is closed to make room, and a body
+// is taken again once there is.
+func TestBodyWithoutMemoryIsRefused(t *testing.T) {
+	host := newHost(t, answerWith(okAnswer))
+	g := startGateway(t, testConfig(host))
+	budget := &g.loop.pool.memory.remaining
+	whole := budget.Load()
+	stopped := g.openConn(head("POST /api/1 HTTP/1.1", "i", "Content-Length: 60000\r\n") + "half")
+	until(t, "the body that does not come is counted", func() bool { return budget.Load() < whole })
+	taken := budget.Swap(0)
+	refused := func(length int) {
+		if resp, _ := g.request("book", "/api/1", string(testBytes(length))); resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("a body of %d bytes is answered %d, want 503", length, resp.StatusCode)
+		}
+	}
+	refused(30_000)
+	refused(300_000)
+	if resp, _ := g.request("book", "/api/1", "short"); resp.StatusCode != http.StatusOK {
+		t.Errorf("a short body is answered %d", resp.StatusCode)
+	}
+	time.Sleep(minEvictionAge)
+	refused(30_000)
+	stopped.SetReadDeadline(time.Now().Add(waitTimeout))
+	if _, err := stopped.Read(make([]byte, 1)); err == nil {
+		t.Error("the peer that stopped within its body gets an answer, want a close")
+	}
+	budget.Add(taken)
+	until(t, "the budget is whole again", func() bool { return budget.Load() == whole })
+	if resp, _ := g.request("book", "/api/1", string(testBytes(30_000))); resp.StatusCode != http.StatusOK {
+		t.Errorf("a body is answered %d after there is room again", resp.StatusCode)
+	}
+	if n, _, _ := host.counts(); n != 2 {
+		t.Errorf("the host got %d requests, want 2", n)
+	}
+}
+
+// Peers stop within long bodies and hold all connection slots. Each is closed to make room minEvictionAge after its
+// last piece, as those that stop within a head are, so that a new client waits no longer than that. Before, it waited
+// until bodyStallTimeout was over, which is longer than many a request has.
+func TestStoppedUploadsLeaveRoomForOthers(t *testing.T) {
+	const slack = time.Second
+	host := newHost(t, answerWith(okAnswer))
+	cfg := testConfig(host)
+	cfg.Sockets = 64
+	g := startGateway(t, cfg)
+	slots := cap(g.server.connSlots)
+	for i := range slots {
+		g.openConn(head("POST /api/1 HTTP/1.1", fmt.Sprint(i), "Content-Length: 200000\r\n") + strings.Repeat("b", 1000))
+	}
+	until(t, "all connection slots are taken", func() bool { return len(g.server.connSlots) == slots })
+	began := time.Now()
+	health := "GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" // no host is asked, which the peers may have filled
+	if got := g.sendParts(health); !slices.Equal(got, []int{200}) {
+		t.Errorf("answers %v", got)
+	}
+	if took := time.Since(began); took > minEvictionAge+slack {
+		t.Errorf("a new client waits %v, want %v at most", took, minEvictionAge+slack)
+	}
+}
--- a/internal/gateway/read_ahead.go
+++ b/internal/gateway/read_ahead.go
@@ -78,7 +78,7 @@
 // has been read ahead or the budget is used up. There may be nothing to read, or the end of the connection,
 // which clientGone shows.
 func (c *framedConn) readAhead(memory *memoryBudget) (allowed bool) {
-	if c.aheadBytes() >= maxReadAhead || c.pendingHeads() > maxHeadsAhead || !memory.acquire(streamBufferBytes) {
+	if c.aheadBytes() >= maxReadAhead || c.pendingHeads() > maxHeadsAhead || !memory.acquireSpare(streamBufferBytes) {
 		return false
 	}
 	chunk := aheadChunk{buffer: streamBuffers.Get().(*[streamBufferBytes]byte), memory: memory}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -18,14 +18,17 @@
 // Shares of the descriptor limit in percent. The rest is left for the listener, discovery and
 // the descriptors of the runtime.
 const (
-	// Above clientConnBudgetPercent, connections are still accepted, but each change of the state of a
-	// connection, except its end, evicts one, idle or without a whole request for minEvictionAge, if
-	// there is one, and every answer announces the close of its connection.
-	clientConnBudgetPercent = 55
-	// At maxClientConnPercent, no connection is accepted until a slot is free. While all slots are
-	// taken, a connection is evicted every evictionInterval, if one can be.
+	// maxClientConnPercent limits the connections of clients, unless memory limits them further. At the
+	// limit, no connection is accepted until a slot is free. While all slots are taken, a connection is
+	// evicted every evictionInterval, if one can be.
 	maxClientConnPercent = 60
 	maxHostConnPercent   = 35 // hard limit on the connections to hosts
+
+	// clientConnBudgetShare is the share of the limit on client connections, in percent, above which
+	// connections are still accepted, but each change of the state of a connection, except its end,
+	// evicts one, if there is one that has rested or lacks a whole request for a while. At the limit every
+	// answer announces the close of its connection.
+	clientConnBudgetShare = 92
 )
 
 const (
@@ -50,7 +53,7 @@
 	cfg        *config.Config
 	loop       *Loop
 	http       http.Server
-	connBudget int // number of client connections above which some are evicted; see clientConnBudgetPercent
+	connBudget int // number of client connections above which some are evicted; see clientConnBudgetShare
 	headBudget *memoryBudget
 
 	rejectLog rateLimitedLog
@@ -71,10 +74,11 @@
 
 // NewServer returns a Server that submits its requests to loop.
 func NewServer(cfg *config.Config, loop *Loop) *Server {
+	maxConns := maxClientConns(cfg)
 	s := &Server{
-		cfg: cfg, loop: loop, connBudget: cfg.Sockets * clientConnBudgetPercent / 100,
+		cfg: cfg, loop: loop, connBudget: maxConns * clientConnBudgetShare / 100,
 		conns: map[net.Conn]connState{}, shutdownStarted: make(chan struct{}),
-		connSlots:  make(chan struct{}, cfg.Sockets*maxClientConnPercent/100),
+		connSlots:  make(chan struct{}, maxConns),
 		headBudget: newHeadBudget(cfg),
 	}
 	s.http = http.Server{
@@ -151,12 +155,12 @@
 		s.serveHealth(w)
 		return
 	}
-	x, err := s.readRequest(w, r, head)
-	if err != nil {
+	x := s.newExchange(r, head)
+	defer func() { s.loop.pool.memory.release(x.memoryHeld) }()
+	if err := s.readRequest(w, r, x); err != nil {
 		s.reject(w, r, err)
 		return
 	}
-	defer x.releaseBody()
 	s.loop.Submit(x)
 	a, ok := s.awaitAnswer(r, x)
 	if !ok {
@@ -167,13 +171,16 @@
 }
 
 // setConnectionClose announces the end of the connection in the response if the server is
-// shutting down or has more connections than its budget.
+// shutting down or can accept no more connections.
 func (s *Server) setConnectionClose(w http.ResponseWriter) {
-	if s.stopping.Load() || s.overBudget() {
+	if s.stopping.Load() || s.allSlotsTaken() {
 		w.Header().Set("Connection", "close")
 	}
 }
 
+// allSlotsTaken returns whether no more connections can be accepted.
+func (s *Server) allSlotsTaken() bool { return len(s.connSlots) == cap(s.connSlots) }
+
 // awaitAnswer waits for the final answer to x. It returns false if the client has left, and
 // answerFailed if there is no answer by the deadline.
 func (s *Server) awaitAnswer(r *http.Request, x *exchange) (answer, bool) {
