Send no at-most-once request whose id was sent before and whose client has no answer

Callers saw: a client left without an answer and sent its request again with the same id, on a new connection or to the other process of an upgrade, and it ran twice. A test of our own: the host got both copies, each time.

Cause: an id said nothing to the gateway; the end of the first client takes an attempt back, but a host may finish it. Ruled out: repeats by the module, and bytes of one connection read by both processes.

Fix: before the first byte of an attempt the id enters a table of ids that were sent and not answered; if it is there, the request is not sent and fails.

TestRequestOfClientThatLeftIsNotSentAgain failed before in both cases (the second copy was held at the host too).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -139,14 +139,22 @@
 }
 
 // permit is the last check before the first byte of an attempt. It returns whether the host still
-// takes requests, the request still needs an answer and its client is still there. If the client has
-// left, permit records that and finishes the request.
+// takes requests, the request still needs an answer, its client is still there, and it is not one that was sent
+// before with the same id. If the client has left, or the request was sent before, permit finishes the request.
 func (p *Pool) permit(h *host, x *exchange) bool {
 	if x.clientGone != nil && x.clientGone() {
 		x.markClientGone()
 		x.finish(answer{kind: answerFailed})
 	}
-	return !x.finished.Load() && h.usable.Load()
+	if x.finished.Load() || !h.usable.Load() {
+		return false
+	}
+	if !p.holdID(x) {
+		p.repeatLog.warn("request not sent: another one with its id may have run", "id", x.requestID())
+		x.finish(answer{kind: answerFailed})
+		return false
+	}
+	return true
 }
 
 // isLocalFailure returns whether a system call failed because this machine lacked something:
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -33,6 +33,7 @@
 	clientGone   func() bool               // whether the client has left, as far as its connection shows; may be nil
 	clientGoneAt atomic.Pointer[time.Time] // when the client was seen to have left; nil if it was not
 
+	idHeld   atomic.Bool // the id is among Pool.sentIDs for this request
 	finished atomic.Bool // answered or abandoned; set once, by claimAnswer
 	answer   chan answer // receives the one final answer
 
--- a/internal/gateway/loop_actions.go
+++ b/internal/gateway/loop_actions.go
@@ -110,6 +110,9 @@
 	if result == bramblelock.OK {
 		x.finish(good)
 	}
+	if result.ProvesNotRun() {
+		l.pool.releaseID(x)
+	}
 	took := att.chargedTime
 	if took == 0 {
 		took = max(0, now-l.clock.at(att.chargedFrom))
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -13,6 +13,7 @@
 
 	"bramblelock"
 	"bramblelock/internal/gateway/config"
+	"bramblelock/internal/gateway/requestids"
 	"bramblelock/internal/gateway/socket"
 )
 
@@ -31,6 +32,8 @@
 	maxConns     int // limit on the connections to all hosts together
 	memory       *memoryBudget
 	audit        *Audit
+	sentIDs      *requestids.Table
+	repeatLog    rateLimitedLog
 	drainGrace   atomic.Int64 // a time.Duration: an attempt that is sent to a host after it has been unusable for longer counts as a violation in the audit
 	updateSource UpdateSource // source of changes of the list of hosts; may be nil
 
@@ -84,6 +87,7 @@
 		idle:        map[*host][]*conn{},
 		memory:      newBufferBudget(cfg),
 		audit:       &Audit{},
+		sentIDs:     newSentIDs(cfg),
 	}
 	p.setDrainGrace(cfg.Settings.DrainGrace)
 	p.dial = p.dialer.DialContext
