Bound the lines of the head of a host's answer too

A related path of the heads that took gateways over their memory: net/http makes a map of the head of an answer as well, and a host that sends 64 KiB of short lines costs some 0.8 MB on each connection.

The reader of a connection to a host counts the lines of a head and ends it after 200, as it ends it after 64 KiB: the attempt has failed and may have run.

TestAnswersAndTheirResults failed before: 3,000 fields were served, and without an end waited for until the time-out.

Measured: the cases pass; 150 fields are served and the connection is kept.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"os"
@@ -51,12 +50,12 @@
 // readAnswerHead reads the head of an answer. It skips informational responses, which precede the
 // answer.
 func (c *conn) readAnswerHead(method string) (*http.Response, error) {
-	c.limited.N = maxHeadBytes
+	c.limited.startHead()
 	for {
 		badFraming := c.http10TransferEncoding()
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		switch {
-		case err != nil && c.limited.N <= 0:
+		case err != nil && c.limited.exceeded:
 			return nil, errBadAnswer // the head is too long
 		case err != nil:
 			return nil, err
@@ -64,7 +63,7 @@
 			return nil, errBadAnswer // its body is not framed as its head says
 		}
 		if resp.StatusCode >= 200 {
-			c.limited.N = math.MaxInt64
+			c.limited.endHead()
 			return resp, nil
 		}
 	}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -68,10 +67,10 @@
 	net.Conn
 	raw        syscall.RawConn // of Conn; nil if there is no socket, as in some tests
 	host       *host
-	addr       string            // host.addr at the time of the dial
-	started    int64             // host.started at the time of the dial
-	reused     bool              // it has been idle in the Pool before
-	limited    *io.LimitedReader // limits how much is read of an answer's head
+	addr       string        // host.addr at the time of the dial
+	started    int64         // host.started at the time of the dial
+	reused     bool          // it has been idle in the Pool before
+	limited    *answerReader // limits the head of an answer
 	reader     *bufio.Reader
 	idleSince  time.Time
 	acquiredAt time.Time // when the present attempt got the connection
@@ -282,7 +281,7 @@
 		return nil, err
 	}
 	c.Conn, c.raw, c.acquiredAt = netConn, socket.Raw(netConn), time.Now()
-	c.limited = &io.LimitedReader{R: netConn}
+	c.limited = &answerReader{conn: netConn}
 	c.reader = bufio.NewReader(c.limited)
 	return c, nil
 }
