Test the eviction of a stopped upload so that it fails without it, and give requests fresh ids

TestStoppedUploadIsEvicted looks at the eviction itself on the fake clock: "it stays open" before, closed after minEvictionAge now.

TestBodyWithoutMemoryIsRefused was flaky with the race detector: 2 of 5 and 1 of 6 runs, 502 in place of 200. Traced with debug lines: it used one id for requests one after another, and with the budget at 0 the answer is streamed, so its client has it and closes before the handler looks whether the client is there; the id then stays in the table for 30 s. Ids are fresh on every request by the protocol, so the test has fresh ones; no bound changed.

--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -9,6 +10,7 @@
 	"time"
 
 	"bramblelock/internal/gateway/config"
+	"bramblelock/internal/gateway/gatewaytest"
 )
 
 // The connections of clients have their shares of the descriptors and of the memory, and always the third of the
@@ -39,13 +41,13 @@
 	until(t, "the body that does not come is counted", func() bool { return budget.Load() < whole })
 	taken := budget.Swap(0)
 	refused := func(length int) {
-		if resp, _ := g.request("book", "/api/1", string(testBytes(length))); resp.StatusCode != http.StatusServiceUnavailable {
+		if resp, _ := g.request("book", "/api/1", string(testBytes(length)), requestIDHeader, "refused"); resp.StatusCode != http.StatusServiceUnavailable {
 			t.Errorf("a body of %d bytes is answered %d, want 503", length, resp.StatusCode)
 		}
 	}
 	refused(30_000)
 	refused(300_000)
-	if resp, _ := g.request("book", "/api/1", "short"); resp.StatusCode != http.StatusOK {
+	if resp, _ := g.request("book", "/api/1", "short", requestIDHeader, "short"); resp.StatusCode != http.StatusOK {
 		t.Errorf("a short body is answered %d", resp.StatusCode)
 	}
 	time.Sleep(minEvictionAge)
@@ -56,7 +58,7 @@
 	}
 	budget.Add(taken)
 	until(t, "the budget is whole again", func() bool { return budget.Load() == whole })
-	if resp, _ := g.request("book", "/api/1", string(testBytes(30_000))); resp.StatusCode != http.StatusOK {
+	if resp, _ := g.request("book", "/api/1", string(testBytes(30_000)), requestIDHeader, "room"); resp.StatusCode != http.StatusOK {
 		t.Errorf("a body is answered %d after there is room again", resp.StatusCode)
 	}
 	if n, _, _ := host.counts(); n != 2 {
@@ -64,9 +66,31 @@
 	}
 }
 
-// Peers stop within long bodies and hold all connection slots. Each is closed to make room minEvictionAge after its
-// last piece, as those that stop within a head are, so that a new client waits no longer than that. Before, it waited
-// until bodyStallTimeout was over, which is longer than many a request has.
+// A peer that stops within a long body, which is streamed to a host, is evicted minEvictionAge after its last piece, as
+// one that stops within a head is. Before, it held its slot until bodyStallTimeout was over.
+func TestStoppedUploadIsEvicted(t *testing.T) {
+	gatewaytest.RunInBubble(t, func(t *testing.T) {
+		s := &Server{conns: map[net.Conn]connState{}, connBudget: 1}
+		ours, theirs := net.Pipe()
+		defer ours.Close()
+		c := newFramedConn(theirs)
+		c.parse([]byte(head("POST /api/1 HTTP/1.1", "i", "Content-Length: 200000\r\n") + "the first piece"))
+		s.trackConn(c, http.StateActive)
+		time.Sleep(time.Hour)
+		c.lastReadAt = time.Now()
+		time.Sleep(minEvictionAge - time.Nanosecond)
+		if s.evictOne(); len(s.conns) == 0 {
+			t.Fatal("it is closed although the next piece may be on its way")
+		}
+		time.Sleep(time.Nanosecond)
+		if s.evictOne(); len(s.conns) > 0 {
+			t.Error("it stays open")
+		}
+	})
+}
+
+// Peers stop within long bodies and hold all connection slots: a new client waits no longer than it takes to evict
+// one. TestStoppedUploadIsEvicted is the test that failed before.
 func TestStoppedUploadsLeaveRoomForOthers(t *testing.T) {
 	const slack = time.Second
 	host := newHost(t, answerWith(okAnswer))
