Let one of two requests with the same id hold it, also where its bucket is full

A request that may run once only could have run twice if two copies came within microseconds.

Cause: an entry of the table was two words. A call without a free entry took over the oldest one even if another call had just entered the same id there (replacing a hash by the same hash succeeds), and then left it out as its own when it looked for a second holder.

Why the fix holds: an entry is one word. Each call looks for its id before it takes a place, and takes that only by one operation that fails if the place has changed.

The check of 1 ns after the time an id is kept for became 1 ms, the unit of time in an entry.

--- a/internal/gateway/requestids/requestids.go
+++ b/internal/gateway/requestids/requestids.go
@@ -21,17 +21,50 @@
 	keepTime = 30 * time.Second
 
 	buckets       = 4096
-	bucketEntries = 4
-	tableBytes    = buckets * bucketEntries * int(unsafe.Sizeof(entry{}))
+	bucketEntries = 8
+	tableBytes    = buckets * bucketEntries * int(unsafe.Sizeof(entry(0)))
 
 	fileName = "sent-request-ids"
 	fileMode = 0o600
 )
 
-// entry is an id in a table. Its fields are read and written atomically, by more than one process.
-type entry struct {
-	hash   uint64 // of the id; 0 if the entry is free
-	heldAt int64  // Unix time in ns
+// entry is an id in a table: a hash of it in the upper bits, and the tick at which it was entered in the lower ones.
+// It is one word, so that a single atomic operation, in whichever process, enters or removes an id. 0 is a free entry.
+type entry uint64
+
+const (
+	tick     = time.Millisecond // unit of the time in an entry
+	tickBits = 24
+	tickMask = 1<<tickBits - 1
+	// tickSignShift moves the sign of a difference of ticks, which wrap, to that of an int32.
+	tickSignShift = 32 - tickBits
+)
+
+// newEntry returns the entry of an id with the given hash that is entered now.
+func newEntry(hash uint64, now time.Time) entry {
+	ticks := uint64(now.UnixNano()/int64(tick)) & tickMask
+	return entry(max(1, hash>>tickBits)<<tickBits | ticks)
+}
+
+// sameID returns whether two entries, of one bucket, are of the same id.
+func (e entry) sameID(other entry) bool { return e>>tickBits == other>>tickBits }
+
+// age returns how long before the entry now this one was entered. It is negative if that was later, as another call may
+// have taken its time before, or the clock was stepped.
+func (e entry) age(now entry) time.Duration {
+	ticks := int32(uint32(now-e)<<tickSignShift) >> tickSignShift
+	return time.Duration(ticks) * tick
+}
+
+// remembered returns whether the id of an entry still counts.
+func (e entry) remembered(now entry) bool { return e != 0 && e.age(now).Abs() <= keepTime }
+
+// load reads an entry that other calls and processes may change.
+func (e *entry) load() entry { return entry(atomic.LoadUint64((*uint64)(e))) }
+
+// replace changes an entry from old to new, and returns false if it is no longer old.
+func (e *entry) replace(old, new entry) bool {
+	return atomic.CompareAndSwapUint64((*uint64)(e), uint64(old), uint64(new))
 }
 
 // Table is a set of ids. It is safe for concurrent use. Where more ids are held than a bucket of it takes, the oldest
@@ -64,14 +97,17 @@
 // Hold adds an id and returns true, or returns false if the id is held already. Of two calls with the same id at the
 // same time, in whichever processes, one at most returns true, and at times neither does.
 func (t *Table) Hold(id string, now time.Time) bool {
-	hash := hashOf(id)
+	hash := xxhash.Sum64String(id)
 	bucket := t.bucket(hash)
-	if findHeld(bucket, hash, now, nil) != nil {
+	added := newEntry(hash, now)
+	slot := enter(bucket, added)
+	if slot == nil {
 		return false
 	}
-	mine := takeOldest(bucket, hash, now)
-	if findHeld(bucket, hash, now, mine) != nil { // by a call at the same time, which may have seen this one or not
-		atomic.CompareAndSwapUint64(&mine.hash, hash, 0)
+	// A call at the same time may have taken another slot before this one was visible to it. Each of the two looks
+	// for the other after its own id is in the table, so that one at least finds the other.
+	if findHeld(bucket, added, slot) {
+		slot.replace(added, 0)
 		return false
 	}
 	return true
@@ -79,10 +115,13 @@
 
 // Release removes an id.
 func (t *Table) Release(id string) {
-	hash := hashOf(id)
+	hash := xxhash.Sum64String(id)
+	released := newEntry(hash, time.Time{})
 	bucket := t.bucket(hash)
 	for i := range bucket {
-		atomic.CompareAndSwapUint64(&bucket[i].hash, hash, 0)
+		if held := bucket[i].load(); held.sameID(released) {
+			bucket[i].replace(held, 0)
+		}
 	}
 }
 
@@ -92,45 +131,45 @@
 	return t.entries[first : first+bucketEntries]
 }
 
-// findHeld returns the entry that holds the id with the given hash, other than the entry except, or nil.
-func findHeld(bucket []entry, hash uint64, now time.Time, except *entry) *entry {
+// findHeld returns whether the id of added is held in a slot of the bucket other than except.
+func findHeld(bucket []entry, added entry, except *entry) bool {
 	for i := range bucket {
-		e := &bucket[i]
-		if e != except && atomic.LoadUint64(&e.hash) == hash && !e.expired(now) {
-			return e
+		held := bucket[i].load()
+		if &bucket[i] != except && held.sameID(added) && held.remembered(added) {
+			return true
 		}
 	}
-	return nil
+	return false
 }
 
-// takeOldest writes the hash to a free entry of the bucket, or in place of the oldest one, and returns the entry.
-func takeOldest(bucket []entry, hash uint64, now time.Time) *entry {
+// enter writes an entry to a free slot of the bucket, or in place of the oldest entry, and returns the slot. It returns
+// nil if the id is held already.
+func enter(bucket []entry, added entry) *entry {
 	for {
-		oldest := &bucket[0]
-		for i := range bucket {
-			if e := &bucket[i]; e.age(now) > oldest.age(now) {
-				oldest = e
-			}
+		if findHeld(bucket, added, nil) {
+			return nil
 		}
-		previous := atomic.LoadUint64(&oldest.hash)
-		heldAt := atomic.LoadInt64(&oldest.heldAt)
-		if atomic.CompareAndSwapInt64(&oldest.heldAt, heldAt, now.UnixNano()) &&
-			atomic.CompareAndSwapUint64(&oldest.hash, previous, hash) {
-			return oldest
+		slot, previous := oldestSlot(bucket, added)
+		if previous.sameID(added) && previous.remembered(added) {
+			return nil // entered by a call at the same time
+		}
+		if slot.replace(previous, added) {
+			return slot
 		}
 	}
 }
 
-// age returns how long ago an entry was taken, which is longest for a free one.
-func (e *entry) age(now time.Time) time.Duration {
-	if atomic.LoadUint64(&e.hash) == 0 {
-		return time.Duration(1<<63 - 1)
+// oldestSlot returns the first slot of a bucket without an id that is remembered, or the one with the oldest id, and what
+// it holds.
+func oldestSlot(bucket []entry, now entry) (slot *entry, held entry) {
+	for i := range bucket {
+		next := bucket[i].load()
+		if !next.remembered(now) {
+			return &bucket[i], next
+		}
+		if slot == nil || next.age(now) > held.age(now) {
+			slot, held = &bucket[i], next
+		}
 	}
-	return time.Duration(now.UnixNano() - atomic.LoadInt64(&e.heldAt))
+	return slot, held
 }
-
-// expired returns whether the id of an entry is no longer remembered.
-func (e *entry) expired(now time.Time) bool { return e.age(now) > keepTime }
-
-// hashOf returns the hash of an id, which is not 0.
-func hashOf(id string) uint64 { return max(1, xxhash.Sum64String(id)) }
--- a/internal/gateway/requestids/requestids_test.go
+++ b/internal/gateway/requestids/requestids_test.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Of many calls with one id at the same time, through two tables over one file as two processes have them, one at
@@ -42,6 +44,48 @@
 	}
 }
 
+// An id that comes in two calls at the same time, where its bucket is full of others, or of itself from long ago, is held
+// by one of them at most. Each of them entered it in the same place and took the other's entry for its own.
+func TestOneHoldsInFullBucket(t *testing.T) {
+	now := time.Now()
+	for name, fill := range map[string]func(id string, i int) (hash uint64, at time.Time){
+		"of other ids": func(id string, i int) (uint64, time.Time) {
+			return xxhash.Sum64String(id) + uint64(i+1)<<tickBits, now
+		},
+		"of the id itself": func(id string, _ int) (uint64, time.Time) {
+			return xxhash.Sum64String(id), now.Add(-2 * keepTime)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table, held := New(), 0
+			for round := range 5000 {
+				id := fmt.Sprint("id-", round)
+				bucket := table.bucket(xxhash.Sum64String(id))
+				for i := range bucket {
+					bucket[i] = newEntry(fill(id, i))
+				}
+				var holders atomic.Int64
+				var calls sync.WaitGroup
+				for range 4 {
+					calls.Go(func() {
+						if table.Hold(id, now) {
+							holders.Add(1)
+						}
+					})
+				}
+				calls.Wait()
+				if holders.Load() > 1 {
+					t.Fatalf("round %d: %d calls hold the same id", round, holders.Load())
+				}
+				held += int(holders.Load())
+			}
+			if held < 2500 {
+				t.Errorf("%d of 5000 ids were held", held)
+			}
+		})
+	}
+}
+
 // An id is held until it is released or keepTime has passed, by the other process too. Any number of ids takes no more
 // than the table.
 func TestHoldAndRelease(t *testing.T) {
@@ -65,7 +109,7 @@
 	if !first.Hold("a", now) {
 		t.Error("a released id cannot be held")
 	}
-	if !second.Hold("a", now.Add(keepTime+time.Nanosecond)) {
+	if !second.Hold("a", now.Add(keepTime+tick)) {
 		t.Error("an old id cannot be held")
 	}
 	for i := range 10 * len(first.entries) {
