Pass on what has come of an answer in chunks while its host pauses

A host wrote a long answer in chunks with pauses of 4.5 s; the client got 502 at the end of its time (2 s) in 3 of 3 plays of an own rig, though the first 20,000 bytes had come at once.

Cause: before an answer of unknown length is streamed, the gateway waited for more bytes on the connection, and took the line end after a chunk for more of the body. The reader of net/http then waited for the next chunk, up to the deadline. It also holds back data if the size of the next chunk has come without its data.

Evidence: with a host that cuts the bytes of a chunk in six ways, the client had nothing after 2 s in five. The same answer with a Content-Length passed. Ruled out: the length of the pause, and the deadline of a stream, which has none.

A read waits until there is something of the body, asks for no more than that, and can go on after a deadline.

TestChunksOfSlowAnswerAreNotHeldBack failed before in five of six cases.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -87,6 +87,9 @@
 // readAnswerBody sets the body or the stream of an answer. If it fails, it sets neither.
 func (c *conn) readAnswerBody(resp *http.Response, a *answer, memory *memoryBudget) error {
 	st := &stream{conn: c, body: resp.Body, length: resp.ContentLength, done: make(chan error, 1)}
+	if st.length < 0 {
+		st.body = newAnswerBody(c, resp)
+	}
 	size, acquire := maxBufferedBytes, memory.acquireSpare // an answer of unknown length is often long
 	if st.length >= 0 && st.length < maxBufferedBytes {
 		size, acquire = int(st.length), memory.acquire
@@ -100,7 +103,7 @@
 		a.stream = st
 		return nil
 	}
-	body, whole, err := c.bufferAnswerBody(resp, size)
+	body, whole, err := c.bufferAnswerBody(st, size)
 	if err != nil {
 		memory.release(size)
 		return err
@@ -117,28 +120,29 @@
 // bufferAnswerBody reads the body of an answer until it is complete, too long to be buffered or, if its
 // length is unknown, incomplete streamDelay after its head. whole says whether it is complete. size is
 // the expected length.
-func (c *conn) bufferAnswerBody(resp *http.Response, size int) (body []byte, whole bool, err error) {
+func (c *conn) bufferAnswerBody(st *stream, size int) (body []byte, whole bool, err error) {
 	streamAt := time.Now().Add(streamDelay)
 	body = make([]byte, 0, min(size+1, 4<<10))
 	for len(body) <= maxBufferedBytes {
-		if resp.ContentLength < 0 && len(body) > 0 {
-			if more, err := c.waitForMore(streamAt); err != nil || !more {
-				return body, false, err
-			}
-		}
 		if len(body) == cap(body) {
 			body = slices.Grow(body, min(len(body), maxBufferedBytes+1-len(body)))
 		}
-		n, err := resp.Body.Read(body[len(body):min(cap(body), maxBufferedBytes+1)])
+		n, err := st.body.Read(body[len(body):min(cap(body), maxBufferedBytes+1)])
 		body = body[:len(body)+n]
 		switch {
 		case err == io.EOF && c.reader.Buffered() > 0:
 			return nil, false, errBadAnswer // longer than announced
 		case err == io.EOF:
 			return body, true, nil
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return body, false, nil
 		case err != nil:
 			return nil, false, err
 		}
+		if st.length < 0 && n > 0 && len(body) == n { // the first piece
+			c.SetReadDeadline(streamAt)
+			defer c.SetReadDeadline(time.Time{})
+		}
 	}
 	return body, false, nil
 }
@@ -171,22 +175,3 @@
 		n = len(head)
 	}
 }
-
-// waitForMore waits until there is more of an answer to read, or the host has closed the connection,
-// and returns false if neither has happened by the given time. A connection reports that it was reset only
-// once, and a read after that returns io.EOF, so the caller must handle the error.
-func (c *conn) waitForMore(until time.Time) (bool, error) {
-	if c.reader.Buffered() > 0 {
-		return true, nil
-	}
-	c.SetReadDeadline(until)
-	defer c.SetReadDeadline(time.Time{})
-	switch _, err := c.reader.Peek(1); {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return false, nil
-	case err == nil || err == io.EOF:
-		return true, nil // reading the body returns the end again
-	default:
-		return false, err
-	}
-}
--- a/internal/gateway/slow_host_test.go
+++ b/internal/gateway/slow_host_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -29,3 +30,50 @@
 		t.Errorf("%d bytes of %d, %v", n, 2*piece, err)
 	}
 }
+
+// A host writes an answer in chunks, with a pause after each. The client must get what there is while the host pauses,
+// however the bytes of a chunk are cut: where the line end after its data came by itself, the gateway waited for the next
+// chunk, held back the rest, and gave up the request at its deadline although the host was still writing.
+func TestChunksOfSlowAnswerAreNotHeldBack(t *testing.T) {
+	const holdLimit = 2 * time.Second              // holding back longer than this loses the request
+	for name, pieces := range map[string][]string{ // the last one is written after a pause
+		"whole chunk":           {"5\r\nfirst\r\n", "4\r\nlast\r\n0\r\n\r\n"},
+		"line end by itself":    {"5\r\nfirst", "\r\n", "4\r\nlast\r\n0\r\n\r\n"},
+		"part of the next size": {"5\r\nfirst\r", "\n4", "\r\nlast\r\n0\r\n\r\n"},
+		"size line in pieces":   {"5", "\r", "\nfirst\r\n4;name=value\r\n", "last\r\n0\r\n\r\n"},
+		"data in pieces":        {"5\r\nfi", "rst\r\n4;name=value\r\n", "last\r\n0\r\n\r\n"},
+		"data with a line end":  {"5\r\n\r\nabc", "\r\n", "4\r\nlast\r\n0\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			resume := make(chan struct{})
+			host := newHost(t, func(c net.Conn, _ *http.Request, _ int) bool {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+				for _, piece := range pieces[:len(pieces)-1] {
+					io.WriteString(c, piece)
+					time.Sleep(10 * time.Millisecond) // the gateway reads each piece by itself
+				}
+				<-resume
+				io.WriteString(c, pieces[len(pieces)-1])
+				return true
+			})
+			g := startGateway(t, testConfig(host))
+			c := g.openConn(head("POST /api/1 HTTP/1.1", "i", "Content-Length: 0\r\n"))
+			c.SetDeadline(time.Now().Add(holdLimit))
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				close(resume)
+				t.Fatalf("nothing of the answer within %v: %v", holdLimit, err)
+			}
+			first := make([]byte, len("first"))
+			_, err = io.ReadFull(resp.Body, first)
+			close(resume)
+			if err != nil {
+				t.Fatalf("%q of the answer within %v: %v", first, holdLimit, err)
+			}
+			c.SetDeadline(time.Now().Add(waitTimeout))
+			if rest, err := io.ReadAll(resp.Body); err != nil || string(rest) != "last" {
+				t.Errorf("the rest of the answer is %q, %v", rest, err)
+			}
+		})
+	}
+}
