Do not take a peer for stalled that takes what is written to it, but slowly

Cause: a write that took longer than the time-out counted as a peer that takes nothing. The kernel wakes a blocked writer only when a third of its buffer has been taken, and lets the buffer grow to 4 MB.

Evidence: the gateway closed the connections itself, 5 and 10 s after the write had begun, while the peers read. Ruled out: the deadline of the request, limits of hosts, the size of the client's buffer.

Why the fix holds: at its deadline, a write of a stream asks the kernel how much is unacknowledged, and goes on if the peer has taken anything since. The time-outs are unchanged.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -28,8 +28,8 @@
 	// the part that has arrived is not held back.
 	streamDelay = 100 * time.Millisecond
 
-	// A stream fails if one read from the host or one write to it takes longer than
-	// hostStallTimeout, or if one write to the client takes longer than clientStallTimeout.
+	// A stream fails if one read from the host takes longer than hostStallTimeout, or if the host takes nothing of
+	// what is written to it for hostStallTimeout, or the client for clientStallTimeout.
 	hostStallTimeout   = 5 * time.Second
 	clientStallTimeout = 10 * time.Second
 
@@ -161,6 +161,9 @@
 	defer stop()
 	rc := http.NewResponseController(w)
 	write := func(p []byte) error {
+		if c := connOf(r); c != nil {
+			c.trackProgress()
+		}
 		rc.SetWriteDeadline(time.Now().Add(clientStallTimeout))
 		if _, err := w.Write(p); err != nil {
 			return errClientGone
--- a/internal/gateway/client_answer.go
+++ b/internal/gateway/client_answer.go
@@ -18,8 +18,10 @@
 	if a.release != nil {
 		defer a.release()
 	}
-	rc := http.NewResponseController(w)
-	rc.SetWriteDeadline(time.Now().Add(clientStallTimeout))
+	if c := connOf(r); c != nil {
+		c.untrackProgress() // of a stream before
+	}
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(clientStallTimeout))
 	bodyUnread := x.upload != nil && !x.upload.stop()
 	if bodyUnread {
 		w.Header().Set("Connection", "close") // the rest of the body would follow on the connection
@@ -43,7 +45,7 @@
 // answer is incomplete. If the end of the connection would mark the end of the answer, the
 // connection is reset instead.
 func abort(r *http.Request, length int64) {
-	if c, ok := r.Context().Value(framedConnKey{}).(*framedConn); ok && length < 0 && !r.ProtoAtLeast(1, 1) {
+	if c := connOf(r); c != nil && length < 0 && !r.ProtoAtLeast(1, 1) {
 		if tcp, ok := c.Conn.(*net.TCPConn); ok {
 			tcp.SetLinger(0)
 		}
@@ -55,9 +57,9 @@
 // answered: closing the connection at once would reset it and could destroy the answer. While clients wait
 // for a connection slot, it reads for crowdedDrainTime only, and closes the connection itself.
 func (s *Server) discardBody(w http.ResponseWriter, r *http.Request) {
-	c, ok := r.Context().Value(framedConnKey{}).(*framedConn)
+	c := connOf(r)
 	rc := http.NewResponseController(w)
-	if !ok || r.Header.Get("Expect") != "" || rc.Flush() != nil {
+	if c == nil || r.Header.Get("Expect") != "" || rc.Flush() != nil {
 		return
 	}
 	end := time.Now().Add(bodyDrainTime)
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -54,6 +54,7 @@
 	closed      atomic.Bool     // Close was called, even if a request was read before
 	releaseSlot func()          // called by each Close; the first call frees the connection's slot; may be nil
 	rejectLog   *rateLimitedLog // logs heads that are not read to their end; may be nil
+	progress    sendProgress    // of the piece of a stream that is being written; owned by the writer
 
 	mu           sync.Mutex     // guards the fields below but reader; net/http reads ahead while the handler runs
 	closing      bool           // the connection is about to be closed, and nothing more is read
@@ -105,6 +106,25 @@
 	return n, nil
 }
 
+// trackProgress makes the writes until untrackProgress go on past their deadline while the client takes something within
+// each clientStallTimeout. The writer calls it whenever it sets the deadline.
+func (c *framedConn) trackProgress() { c.progress = newSendProgress(c.raw) }
+
+// untrackProgress ends trackProgress.
+func (c *framedConn) untrackProgress() { c.progress = sendProgress{} }
+
+// Write writes as a net.Conn does, but see trackProgress.
+func (c *framedConn) Write(p []byte) (written int, err error) {
+	for {
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		if !c.progress.mayContinue(n, err) {
+			return written, err
+		}
+		c.SetWriteDeadline(time.Now().Add(clientStallTimeout))
+	}
+}
+
 // readWithoutSocket reads and parses, as Read does, from a connection without a socket.
 func (c *framedConn) readWithoutSocket(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
@@ -412,18 +432,24 @@
 	return context.WithValue(ctx, framedConnKey{}, c)
 }
 
+// connOf returns the connection of a request, or nil in tests without one.
+func connOf(r *http.Request) *framedConn {
+	c, _ := r.Context().Value(framedConnKey{}).(*framedConn)
+	return c
+}
+
 // connClosed returns whether this process has closed the connection of a request.
 func connClosed(r *http.Request) bool {
-	c, ok := r.Context().Value(framedConnKey{}).(*framedConn)
-	return ok && c.closed.Load()
+	c := connOf(r)
+	return c != nil && c.closed.Load()
 }
 
 // takeRequestHead removes the oldest pending head from the connection of r, which is the head of r,
 // and returns it and whether sender and gateway agree on where the request ends. It is called once
 // for each request, in their order.
 func takeRequestHead(r *http.Request) (h *framing.Head, unambiguous bool) {
-	c, ok := r.Context().Value(framedConnKey{}).(*framedConn)
-	if !ok {
+	c := connOf(r)
+	if c == nil {
 		return nil, false
 	}
 	c.mu.Lock()
--- a/internal/gateway/eviction.go
+++ b/internal/gateway/eviction.go
@@ -225,7 +225,7 @@
 // setReadingBody records whether the body of a request is being read, and returns whether its
 // connection is still open: the request of an evicted connection is not sent to a host.
 func (s *Server) setReadingBody(r *http.Request, on bool) bool {
-	c, _ := r.Context().Value(framedConnKey{}).(*framedConn)
+	c := connOf(r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cs, ok := s.conns[c]
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -20,7 +20,7 @@
 		clientRetry: r.Header.Get("X-Retried") == "1", answer: make(chan answer, 1),
 		capDeadline: s.capDeadline,
 	}
-	if c, ok := r.Context().Value(framedConnKey{}).(*framedConn); ok {
+	if c := connOf(r); c != nil {
 		x.clientGone = c.clientGone
 		x.clientConn = c
 		x.head = head
--- a/internal/gateway/socket/socket.go
+++ b/internal/gateway/socket/socket.go
@@ -1,5 +1,5 @@
-// Package socket reports what has arrived on the socket of a connection and has not been read, and
-// reads it.
+// Package socket reports what has arrived on the socket of a connection and has not been read, and what was written and
+// its peer has not taken, and reads it.
 package socket
 
 import (
@@ -49,6 +49,13 @@
 	return n, err == nil
 }
 
+// UnacknowledgedBytes returns how many bytes that were written to a connection its peer has not acknowledged, or false
+// if the kernel does not report it.
+func UnacknowledgedBytes(fd int) (int, bool) {
+	n, err := unix.IoctlGetInt(fd, unix.TIOCOUTQ)
+	return n, err == nil
+}
+
 // Raw returns access to the socket of a connection, or nil if it has none, as in tests.
 func Raw(c net.Conn) syscall.RawConn {
 	sc, ok := c.(syscall.Conn)
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -77,7 +77,7 @@
 	pending net.Buffers // goes before the next piece
 }
 
-// write writes one piece of the body. A host that takes none of it for hostStallTimeout makes it fail.
+// write writes one piece of the body. A host that takes nothing for hostStallTimeout makes it fail.
 func (w *uploadWriter) write(piece []byte) error {
 	switch {
 	case len(piece) == 0:
@@ -87,11 +87,16 @@
 	default:
 		w.pending = append(w.pending, piece)
 	}
-	w.conn.SetWriteDeadline(time.Now().Add(hostStallTimeout))
 	defer w.conn.SetWriteDeadline(time.Time{})
-	_, err := w.pending.WriteTo(w.conn.Conn)
-	w.pending = nil
-	return err
+	progress := newSendProgress(w.conn.raw)
+	for {
+		w.conn.SetWriteDeadline(time.Now().Add(hostStallTimeout))
+		n, err := w.pending.WriteTo(w.conn.Conn) // removes what it writes from w.pending
+		if !progress.mayContinue(int(n), err) {
+			w.pending = nil
+			return err
+		}
+	}
 }
 
 // end writes what follows the last piece.
