Let a host pause within a long answer for a minute, while nobody needs its connections

Cause: a read from a host within an answer had 5 s, whether or not anybody needed its connections.

Evidence: TestLongAnswerWithPauseIsNotCutOff, known red until now (100000 bytes of 200000); pauses up to 4.5 s passed.

Why the fix holds: a minute for a pause, and what 5 s was to guard against, answers that never end, is handled where it matters: an attempt that finds no connection to hosts left, and a client for whom no slot can be freed, end the stream whose host has paused for longest, if that is 5 s at least.

TestPausedStreamMakesRoom fails without the two places that end a stream.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -256,7 +256,7 @@
 		return bramblelock.Failed, answer{} // the host has not received the whole request that it claims to have served
 	case status == http.StatusOK && a.stream != nil:
 		var result bramblelock.Result
-		result, keep = c.streamToClient(x, att, a, keep)
+		result, keep = p.streamToClient(c, x, att, a, keep)
 		return result, answer{}
 	case status == http.StatusOK:
 		return bramblelock.OK, a
@@ -324,7 +324,9 @@
 // streamToClient streams an answer to the client and waits for its end. It returns the result of the
 // attempt, and whether the connection can carry another request; keep says whether it could after the
 // head of the answer.
-func (c *conn) streamToClient(x *exchange, att *attempt, a answer, keep bool) (bramblelock.Result, bool) {
+func (p *Pool) streamToClient(c *conn, x *exchange, att *attempt, a answer, keep bool) (bramblelock.Result, bool) {
+	p.streams.add(a.stream)
+	defer p.streams.remove(a.stream)
 	if !att.startStreaming(x, a) {
 		a.stream.dropPrefix()
 		return bramblelock.Canceled, false
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -28,8 +27,8 @@
 	// the part that has arrived is not held back.
 	streamDelay = 100 * time.Millisecond
 
-	// A stream fails if one read from the host takes longer than hostStallTimeout, or if the host takes nothing of
-	// what is written to it for hostStallTimeout, or the client for clientStallTimeout.
+	// A stream fails if the host takes nothing of what is written to it for hostStallTimeout, or the client for
+	// clientStallTimeout.
 	hostStallTimeout   = 5 * time.Second
 	clientStallTimeout = 10 * time.Second
 
@@ -132,73 +131,3 @@
 	}
 	return b.ended
 }
-
-// stream is an answer that is streamed to the client. The goroutine that serves the client calls copyTo
-// and sends its result on done. The attempt, which owns conn, waits for that.
-type stream struct {
-	conn   *conn
-	body   io.Reader
-	length int64  // of the whole answer; -1 if unknown
-	prefix []byte // the part that has been read already
-	done   chan error
-
-	releasePrefix func() // returns the memory of prefix to the budget; nil if there is none
-}
-
-// dropPrefix returns the memory of the prefix. The stream may last much longer than it takes to write that.
-func (st *stream) dropPrefix() {
-	if st.releasePrefix != nil {
-		st.releasePrefix()
-	}
-	st.prefix, st.releasePrefix = nil, nil
-}
-
-// copyTo writes a stream to the client and returns the error that cut it short, if any: errClientGone
-// if the client has left or is stalled, otherwise the error of reading from the host.
-func (st *stream) copyTo(w http.ResponseWriter, r *http.Request, memory *memoryBudget) error {
-	// The client may leave while the host is silent.
-	stop := context.AfterFunc(r.Context(), func() { st.conn.SetReadDeadline(time.Now()) })
-	defer stop()
-	rc := http.NewResponseController(w)
-	write := func(p []byte) error {
-		if c := connOf(r); c != nil {
-			c.trackProgress()
-		}
-		rc.SetWriteDeadline(time.Now().Add(clientStallTimeout))
-		if _, err := w.Write(p); err != nil {
-			return errClientGone
-		}
-		if err := rc.Flush(); err != nil {
-			return errClientGone
-		}
-		return nil
-	}
-	defer st.dropPrefix()
-	if err := write(st.prefix); err != nil {
-		return err
-	}
-	st.dropPrefix()
-	buf, release := streamBuffer(memory)
-	defer release()
-	for {
-		st.conn.SetReadDeadline(time.Now().Add(hostStallTimeout))
-		if r.Context().Err() != nil {
-			return errClientGone
-		}
-		n, err := st.body.Read(buf)
-		if n > 0 {
-			if err := write(buf[:n]); err != nil {
-				return err
-			}
-			yieldTurn()
-		}
-		switch {
-		case err == io.EOF:
-			return nil
-		case r.Context().Err() != nil:
-			return errClientGone
-		case err != nil:
-			return err
-		}
-	}
-}
--- a/internal/gateway/client_listener.go
+++ b/internal/gateway/client_listener.go
@@ -33,8 +33,8 @@
 	return framed, nil
 }
 
-// acquireSlot takes a slot for the next connection. While all slots are taken it evicts a connection,
-// if it can, every evictionInterval. It fails only if the listener is closed.
+// acquireSlot takes a slot for the next connection. While all slots are taken it evicts a connection every
+// evictionInterval or, if it can evict none, ends a stream whose host pauses. It fails only if the listener is closed.
 func (l *clientListener) acquireSlot() error {
 	select {
 	case l.server.connSlots <- struct{}{}:
@@ -51,7 +51,9 @@
 			return net.ErrClosed
 		case <-tick.C:
 			l.backlog.checkEmpty() // keeps the bound on the arrival of the next connection recent
-			l.server.evictOne()
+			if !l.server.evictOne() {
+				l.server.loop.pool.streams.endPaused()
+			}
 		}
 	}
 }
--- a/internal/gateway/eviction.go
+++ b/internal/gateway/eviction.go
@@ -162,11 +162,11 @@
 	}
 }
 
-// evictOne evicts one connection, if one is evictable.
-func (s *Server) evictOne() {
+// evictOne evicts one connection, if one is evictable, and returns whether it did.
+func (s *Server) evictOne() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.evictLocked()
+	return s.evictLocked()
 }
 
 // evictWaitingBody evicts the connection whose body has been read for longest and has not arrived whole, if one
@@ -189,8 +189,9 @@
 // evictLocked closes the connection with the lowest evictionClass that can be closed, and of these the one
 // that has been in its state for longest. The caller holds s.mu. The candidates are
 // sorted once and each is checked once, in place of a new search after each one that cannot be
-// closed: many may have received bytes that are not read yet, and none of those can be closed.
-func (s *Server) evictLocked() {
+// closed: many may have received bytes that are not read yet, and none of those can be closed. It returns whether it
+// closed one.
+func (s *Server) evictLocked() bool {
 	s.evictionCandidates = s.evictionCandidates[:0]
 	for c, cs := range s.conns {
 		if class, since := cs.evictionClass(c); class != notEvictable {
@@ -202,9 +203,10 @@
 	for _, next := range s.evictionCandidates {
 		if evictConn(next.conn, next.class) {
 			delete(s.conns, next.conn)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // evictionCandidate is a connection that may be evicted.
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -33,6 +33,7 @@
 	audit        *Audit
 	sentIDs      *requestids.Table
 	repeatLog    rateLimitedLog
+	streams      openStreams  // the answers that are being streamed
 	drainGrace   atomic.Int64 // a time.Duration: an attempt that is sent to a host after it has been unusable for longer counts as a violation in the audit
 	updateSource UpdateSource // source of changes of the list of hosts; may be nil
 
@@ -268,6 +269,7 @@
 	}
 	if p.openConns >= p.connBudget && !p.closeLongestIdleLocked() {
 		p.mu.Unlock()
+		p.streams.endPaused() // makes room for later attempts
 		return nil, errTooManyConns
 	}
 	p.openConns++
--- a/internal/gateway/slow_host_test.go
+++ b/internal/gateway/slow_host_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,7 +12,7 @@
 )
 
 // A host writes a long answer slowly, with a pause of 6 s within it. The client must get the whole answer: it was
-// cut off after hostStallTimeout, although the host was still writing it.
+// cut off after a pause of 5 s, although the host was still writing it.
 func TestLongAnswerWithPauseIsNotCutOff(t *testing.T) {
 	const piece, pause = 100_000, 6 * time.Second
 	host := httpHost(t, func(w http.ResponseWriter, _ *http.Request) {
@@ -77,3 +79,61 @@
 		})
 	}
 }
+
+// A stream whose host pauses keeps its connections only while nobody else needs them: with all connections to hosts, or
+// of clients, in use, a pause of minEndedPause ends it, and its client can tell that the answer is incomplete.
+func TestPausedStreamMakesRoom(t *testing.T) {
+	for name, limits := range map[string]struct{ sockets, memoryMB, streams int }{
+		"for a connection to a host": {sockets: 5, streams: 1},
+		"for a client":               {sockets: 1024, memoryMB: 1, streams: 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{})
+			defer close(ended)
+			host := newHost(t, func(c net.Conn, r *http.Request, n int) bool {
+				if r.Header.Get(requestIDHeader) == "next" {
+					return answerWith(okAnswer)(c, r, n)
+				}
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nfirst")
+				<-ended
+				return false
+			})
+			cfg := testConfig(host)
+			cfg.Sockets, cfg.MemoryMB = limits.sockets, limits.memoryMB
+			g := startGateway(t, cfg)
+			broken := make(chan error, limits.streams)
+			for i := range limits.streams {
+				c := g.openConn(head("POST /api/1 HTTP/1.1", fmt.Sprint("paused-", i), "Content-Length: 0\r\n"))
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil || resp.StatusCode != http.StatusOK {
+					t.Fatalf("%v, %v", resp, err)
+				}
+				go func() {
+					_, err := io.Copy(io.Discard, resp.Body)
+					broken <- err
+				}()
+			}
+			streams := &g.loop.pool.streams
+			if streams.endPaused() {
+				t.Error("a stream ends after a short pause")
+			}
+			streams.mu.Lock()
+			for st := range streams.streams {
+				until(t, "the stream waits for its host", func() bool { return st.paused() > 0 })
+				st.mu.Lock()
+				st.waitingSince = st.waitingSince.Add(-minEndedPause)
+				st.mu.Unlock()
+			}
+			streams.mu.Unlock()
+			until(t, "a request is served beside the streams", func() bool {
+				c := g.openConn(head("GET /api/1 HTTP/1.1", "next", ""))
+				defer c.Close()
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				return err == nil && resp.StatusCode == http.StatusOK
+			})
+			if err := <-broken; !errors.Is(err, io.ErrUnexpectedEOF) {
+				t.Errorf("the stream that was ended ends with %v", err)
+			}
+		})
+	}
+}
