Leave half of the connections to hosts to requests without a long body

Cause: an upload holds a connection to a host until its client has sent the body, and nothing bounded how many of them uploads take. With 32 MB memory ran out first, which hid it.

Evidence: the refusals came without the module's line, so from the pool, and within 0.2 s. Ruled out: limits of hosts, slots of clients.

Why the fix holds: uploads take half of the connections at most; one more is refused unsent, and the body that has been waited for longest makes room.

TestStoppedUploadsLeaveConnectionsToHosts fails without the limit.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -62,10 +62,11 @@
 }
 
 var (
-	errBodyTooLong = errors.New("the body is too long")
-	errNoMemory    = errors.New("no memory is left for the body, trying again is harmless")
-	errReadStopped = errors.New("gateway: the request has its answer")
-	errClientGone  = errors.New("gateway: the client takes no more")
+	errBodyTooLong    = errors.New("the body is too long")
+	errNoMemory       = errors.New("no memory is left for the body, trying again is harmless")
+	errTooManyUploads = errors.New("too many long bodies are being sent, trying again is harmless")
+	errReadStopped    = errors.New("gateway: the request has its answer")
+	errClientGone     = errors.New("gateway: the client takes no more")
 )
 
 // clientBody reads the body of a request and enforces the rate at which its client must send it. An
--- a/internal/gateway/client_answer.go
+++ b/internal/gateway/client_answer.go
@@ -146,7 +146,7 @@
 	switch {
 	case errors.Is(err, errBodyTooLong):
 		return http.StatusRequestEntityTooLarge
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, errNoMemory), errors.Is(err, errTooManyUploads):
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusBadRequest
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -21,6 +21,8 @@
 	upload            *upload // the rest of the body, streamed to a host; nil if there is none
 	memoryHeld        int     // bytes of the budget that the body holds, buffered or read ahead; owned by the handler
 
+	uploadCounted bool // the request is one of Pool.uploads; owned by the handler
+
 	rules         *config.Rules // rules under which class and tenant were looked up
 	class, tenant int
 	clientRetry   bool                      // the client marked the request as a retry
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -66,6 +67,42 @@
 	}
 }
 
+// Peers that stop within long bodies hold no more than their share of the connections to hosts: a request without a body is
+// served beside them. A further long body is refused, the one that has been waited for longest makes room, and with it another
+// is served. 600 peers held all connections, and a gateway of 192 MB refused 200 of 241 requests.
+func TestStoppedUploadsLeaveConnectionsToHosts(t *testing.T) {
+	const conns = 8
+	const uploads = conns * maxUploadPercent / 100
+	cfg := testConfig(newHost(t, answerWith(okAnswer)))
+	cfg.Sockets = conns*100/maxHostConnPercent + 1
+	g := startGateway(t, cfg)
+	stop := func(id string) net.Conn {
+		return g.openConn(head("POST /api/1 HTTP/1.1", id, "Content-Length: 200000\r\n") + "the first piece")
+	}
+	counted := func() int {
+		g.loop.pool.mu.Lock()
+		defer g.loop.pool.mu.Unlock()
+		return g.loop.pool.uploads
+	}
+	for i := range uploads {
+		stop(fmt.Sprint("stopped-", i))
+	}
+	until(t, "the uploads are counted", func() bool { return counted() == uploads })
+	further, err := http.ReadResponse(bufio.NewReader(stop("further")), nil)
+	if err != nil || further.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("one more long body is answered %v, %v, want 503", further, err)
+	}
+	if resp, _ := g.request("look", "/api/1", ""); resp.StatusCode != http.StatusOK {
+		t.Errorf("a request without a body is answered %d", resp.StatusCode)
+	}
+	time.Sleep(minEvictionAge)
+	until(t, "a long body is served in place of a stopped one", func() bool {
+		resp, _ := g.request("look", "/api/1", string(testBytes(200_000)))
+		return resp.StatusCode == http.StatusOK
+	})
+	until(t, "the count has gone back", func() bool { return counted() < uploads })
+}
+
 // A peer that stops within a long body, which is streamed to a host, is evicted minEvictionAge after its last piece, as
 // one that stops within a head is. Before, it held its slot until bodyStallTimeout was over.
 func TestStoppedUploadIsEvicted(t *testing.T) {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -19,6 +19,10 @@
 const (
 	idleLimitShare = 0.5 // share of the hosts' idle limit for which a connection is kept: a host must not close it while a request is being sent
 	sweepInterval  = time.Second
+
+	// maxUploadPercent is the share of the connections to hosts that uploads may hold. Each holds one for as long as
+	// its client takes to send the body.
+	maxUploadPercent = 50
 )
 
 // Pool runs attempts and keeps the connections to all hosts. http.Transport is unsuitable because
@@ -40,6 +44,7 @@
 	mu         sync.Mutex
 	openConns  int               // connections in use, idle connections and dials in progress
 	connBudget int               // limit on openConns; below maxConns while another process shares the descriptors
+	uploads    int               // requests whose body is streamed to a host
 	idle       map[*host][]*conn // the connection used last is at the end
 }
 
@@ -288,6 +293,24 @@
 	return c, nil
 }
 
+// acquireUpload counts one more upload, and returns false if there are too many. Each must be ended with releaseUpload.
+func (p *Pool) acquireUpload() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.uploads >= max(1, p.connBudget*maxUploadPercent/100) {
+		return false
+	}
+	p.uploads++
+	return true
+}
+
+// releaseUpload ends acquireUpload.
+func (p *Pool) releaseUpload() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.uploads--
+}
+
 // closeLongestIdleLocked closes the connection that has been idle for longest, and returns false if
 // none is idle. The caller holds p.mu.
 func (p *Pool) closeLongestIdleLocked() bool {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -100,6 +100,11 @@
 // startUpload prepares a body, of which length bytes or an unknown number (-1) are still to be read, to be
 // streamed to a host.
 func (s *Server) startUpload(x *exchange, body *clientBody, length int64) error {
+	if !s.loop.pool.acquireUpload() {
+		s.evictWaitingBody()
+		return errTooManyUploads
+	}
+	x.uploadCounted = true
 	if !s.holdMemory(x, uploadMemory) {
 		return errNoMemory
 	}
@@ -123,6 +128,14 @@
 	return true
 }
 
+// releaseBody returns what the body of x holds.
+func (s *Server) releaseBody(x *exchange) {
+	s.loop.pool.memory.release(x.memoryHeld)
+	if x.uploadCounted {
+		s.loop.pool.releaseUpload()
+	}
+}
+
 // limitReadAhead has the kernel receive only readAheadBytes of a long body ahead, if the memory budget
 // has room. Otherwise the kernel may take the whole of a body that its host reads slowly, and since anything may
 // then be waiting, the request's time would have to be counted from when little of the body was read (see
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -156,7 +156,7 @@
 		return
 	}
 	x := s.newExchange(r, head)
-	defer func() { s.loop.pool.memory.release(x.memoryHeld) }()
+	defer s.releaseBody(x)
 	if err := s.readRequest(w, r, x); err != nil {
 		s.reject(w, r, err)
 		return
