Send no at-most-once request again because its answer was written

A client that left with its answer unread and sent the request again with the same id had it run twice.

Cause: the id was forgotten once the answer had been written, which says nothing of whether the client has read it.

Ruled out as fixes: the client's acknowledgement, which its kernel gives; its next request, which may come on another connection.

Why the fix holds: an id leaves the table only if the attempt proves not to have run, or after 30 s. The protocol wants a fresh id on every request, so that nobody is refused who keeps to it.

--- a/internal/gateway/repeated_id.go
+++ b/internal/gateway/repeated_id.go
@@ -10,11 +10,11 @@
 	"bramblelock/internal/gateway/requestids"
 )
 
-// A client that has left without an answer may send its request again with the same id, on another connection or
-// to the other process of an upgrade, while the first copy runs or after it has. A request of a class that may run
-// once only is therefore sent only if no other request with its id was sent whose client has no answer.
+// A client that has left without having read an answer may send its request again with the same id, on another connection
+// or to the other process of an upgrade, while the first copy runs or after it has. A request of a class that may run
+// once only is therefore sent only if no other request with its id was sent that may have run.
 
-// newSentIDs returns the table of the ids of requests that were sent and not answered. Processes that share the
+// newSentIDs returns the table of the ids of requests that were sent and may have run. Processes that share the
 // listener of clients share the table.
 func newSentIDs(cfg *config.Config) *requestids.Table {
 	folder := os.Getenv("TMPDIR")
@@ -42,7 +42,8 @@
 	return true
 }
 
-// releaseID removes the mark of holdID: x was not sent after all, or its client has its answer.
+// releaseID removes the mark of holdID, as x was not sent or did not run. An answer is no reason: its client may have left
+// when it was written, without reading it, and an id is used for one request only.
 func (p *Pool) releaseID(x *exchange) {
 	if x.idHeld.CompareAndSwap(true, false) {
 		p.sentIDs.Release(x.requestID())
--- a/internal/gateway/requestids/requestids.go
+++ b/internal/gateway/requestids/requestids.go
@@ -1,5 +1,5 @@
-// Package requestids remembers the ids of requests that were sent to a host and whose clients have no answer
-// yet, so that a request that comes again with such an id is not sent a second time. The processes of an upgrade
+// Package requestids remembers the ids of requests that were sent to a host and may have run, so that a request that comes
+// again with such an id is not sent a second time. The processes of an upgrade
 // share one table in a file. A table has a fixed size, whatever ids come.
 package requestids
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -168,9 +168,6 @@
 	}
 	s.setConnectionClose(w) // shutdown may have started meanwhile
 	s.writeAnswer(w, r, x, a)
-	if x.clientGone == nil || !x.clientGone() {
-		s.loop.pool.releaseID(x) // the client has its answer
-	}
 }
 
 // setConnectionClose announces the end of the connection in the response if the server is
