Decode answers in chunks as they arrive, in place of asking net/http for little at a time

Ruled out: the calls to the kernel about progress (the same without them).

Change: framing.ChunkedBody decodes in place, and reads go to the socket with the whole buffer. net/http is not asked for a body in chunks any more.

TestChunksOfSlowAnswerAreNotHeldBack passes as it stands.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -87,8 +87,9 @@
 // readAnswerBody sets the body or the stream of an answer. If it fails, it sets neither.
 func (c *conn) readAnswerBody(resp *http.Response, a *answer, memory *memoryBudget) error {
 	st := &stream{conn: c, body: resp.Body, length: resp.ContentLength, done: make(chan error, 1)}
-	if st.length < 0 {
-		st.body = newAnswerBody(c, resp)
+	if st.length < 0 && len(resp.TransferEncoding) > 0 {
+		st.chunks = newChunkedBody(c.reader)
+		st.body = st.chunks
 	}
 	size, acquire := maxBufferedBytes, memory.acquireSpare // an answer of unknown length is often long
 	if st.length >= 0 && st.length < maxBufferedBytes {
@@ -130,7 +131,7 @@
 		n, err := st.body.Read(body[len(body):min(cap(body), maxBufferedBytes+1)])
 		body = body[:len(body)+n]
 		switch {
-		case err == io.EOF && c.reader.Buffered() > 0:
+		case err == io.EOF && st.hasSurplus():
 			return nil, false, errBadAnswer // longer than announced
 		case err == io.EOF:
 			return body, true, nil
--- a/internal/gateway/answer_head.go
+++ b/internal/gateway/answer_head.go
@@ -3,23 +3,20 @@
 import (
 	"io"
 	"math"
-
-	"bramblelock/internal/gateway/framing"
 )
 
 // maxHeadLines is how many lines the head of an answer may have. net/http makes an entry of a map of each.
 const maxHeadLines = 200
 
 // answerReader reads from the connection to a host and limits the head of an answer, in bytes and lines. Beyond a
-// limit, it returns io.EOF. It can follow the chunks of a body.
+// limit, it returns io.EOF.
 type answerReader struct {
 	conn      io.Reader
-	remaining int64                // bytes that may still be read
-	inHead    bool                 // the end of the head has not been read yet
-	lines     int                  // lines of the head that have been read
-	lineBytes int                  // bytes of the present line, without line ends
-	exceeded  bool                 // a head is longer than the limits
-	chunks    *framing.ChunkedBody // of the body that is being read; nil if it has no chunks, or nobody asks
+	remaining int64 // bytes that may still be read
+	inHead    bool  // the end of the head has not been read yet
+	lines     int   // lines of the head that have been read
+	lineBytes int   // bytes of the present line, without line ends
+	exceeded  bool  // a head is longer than the limits
 }
 
 // startHead makes the limits apply to what is read next.
@@ -40,9 +37,6 @@
 	n, err := r.conn.Read(p)
 	r.remaining -= int64(n)
 	r.countLines(p[:n])
-	if r.chunks != nil {
-		r.chunks.Parse(p[:n])
-	}
 	if r.exceeded {
 		return 0, io.EOF
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -335,7 +335,7 @@
 	c.SetReadDeadline(time.Time{})
 	switch {
 	case err == nil:
-		return bramblelock.OK, keep && c.reader.Buffered() == 0
+		return bramblelock.OK, keep && !a.stream.hasSurplus()
 	case errors.Is(err, errClientGone):
 		return bramblelock.Canceled, false
 	case isConnError(err):
--- a/internal/gateway/framing/chunked_body.go
+++ b/internal/gateway/framing/chunked_body.go
@@ -1,8 +1,11 @@
 package framing
 
-import "time"
+import (
+	"bytes"
+	"time"
+)
 
-// ChunkedBody follows the framing of a chunked body in the bytes that arrive, ahead of the reader that decodes it.
+// ChunkedBody decodes a chunked body as its bytes arrive, however they are cut.
 type ChunkedBody struct {
 	parser Parser
 	head   *Head // of the body; complete once the end of the body has arrived
@@ -14,16 +17,27 @@
 	return &ChunkedBody{parser: Parser{state: parsingChunkSize, lastHead: head}, head: head}
 }
 
-// Parse parses bytes that have arrived.
-func (b *ChunkedBody) Parse(in []byte) {
+// Decode decodes bytes that have arrived, in place: it moves the data among them to the beginning of in and returns how
+// many bytes of data there are, and how many bytes of in belong to the body: fewer than all if in goes on after its end.
+func (b *ChunkedBody) Decode(in []byte) (data, used int) {
 	now := time.Now()
-	b.parser.Parse(in, now, now)
+	for used < len(in) && !b.Ended() && !b.Malformed() {
+		rest := in[used:]
+		n := bytes.IndexByte(rest, '\n') + 1
+		if b.parser.state == parsingChunk {
+			n = int(min(b.parser.remaining, int64(len(rest))))
+			data += copy(in[data:], rest[:n])
+		} else if n == 0 {
+			n = len(rest)
+		}
+		b.parser.Parse(rest[:n], now, now)
+		used += n
+	}
+	return data, used
 }
 
-// Data returns how many bytes of data have arrived. It is not meaningful once Ended returns true.
-func (b *ChunkedBody) Data() int64 { return b.parser.chunkData }
+// Ended returns whether the end of the body has arrived.
+func (b *ChunkedBody) Ended() bool { return !b.head.CompleteAt.IsZero() }
 
-// Ended returns whether the end of the body, or an error in its framing, has arrived.
-func (b *ChunkedBody) Ended() bool {
-	return !b.head.CompleteAt.IsZero() || b.parser.state == parsingStopped
-}
+// Malformed returns whether the framing of the body is faulty.
+func (b *ChunkedBody) Malformed() bool { return b.parser.state == parsingStopped }
--- a/internal/gateway/framing/framing.go
+++ b/internal/gateway/framing/framing.go
@@ -67,7 +67,6 @@
 type Parser struct {
 	state         parseState
 	remaining     int64     // bytes of the body or chunk that are still to come
-	chunkData     int64     // bytes of data in all chunks that have been received
 	line          []byte    // start of the line that is being received, up to maxLineBytes
 	lineTruncated bool      // the line is longer than maxLineBytes
 	partialHead   Head      // head that is being received
@@ -151,9 +150,6 @@
 		if p.state == parsingBody || p.state == parsingChunk {
 			n := min(p.remaining, int64(len(in)))
 			in = in[n:]
-			if p.state == parsingChunk {
-				p.chunkData += n
-			}
 			if p.remaining -= n; p.remaining > 0 {
 				return
 			}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,8 +22,9 @@
 type stream struct {
 	conn   *conn
 	body   io.Reader
-	length int64  // of the whole answer; -1 if unknown
-	prefix []byte // the part that has been read already
+	chunks *chunkedBody // body, if it comes in chunks, or nil
+	length int64        // of the whole answer; -1 if unknown
+	prefix []byte       // the part that has been read already
 	done   chan error
 
 	releasePrefix func() // returns the memory of prefix to the budget; nil if there is none
@@ -41,6 +42,11 @@
 	st.prefix, st.releasePrefix = nil, nil
 }
 
+// hasSurplus returns whether the host has sent more than the answer, whose end has been read.
+func (st *stream) hasSurplus() bool {
+	return st.conn.reader.Buffered() > 0 || st.chunks != nil && st.chunks.surplus
+}
+
 // copyTo writes a stream to the client and returns the error that cut it short, if any: errClientGone
 // if the client has left or is stalled, otherwise the error of reading from the host.
 func (st *stream) copyTo(w http.ResponseWriter, r *http.Request, memory *memoryBudget) error {
