Size the connections to hosts by the memory limit too

Callers: nothing that counts as lost. 600 peers that read answers of 1 MB slowly brought a gateway of 32 MB and 1,024 descriptors to 31.9 MB; 4 to 50 of 241 answers were up to 0.3 s late where clients wait for 0.5 s.

Cause: the connections to hosts followed from the descriptors alone (358), and with all of them under way nothing was left for garbage.

Evidence: 600 streams under way in place of 563, 215 in place of 103 of them without room for a large buffer.

Why the fix holds: 18 in 100 of the divided memory at 14 KiB each, 236 at 32 MB; unchanged from 64 MB on.

TestMaxConns. TestPausedStreamMakesRoom needed more connections to hosts than its limits allow now; it is two tests, each of which fails without its place that ends a stream.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -7,8 +7,8 @@
 )
 
 // This file divides the memory limit: a fixed part for the program and the runtime, and shares of the rest for
-// the connections of clients, the heads of their requests, and bodies and answers that are buffered. What is
-// left is for garbage, stacks and the connections to hosts.
+// the connections of clients and to hosts, the heads of requests, and bodies and answers that are buffered. What is
+// left is for garbage and stacks.
 
 const (
 	// fixedMemoryMB is what the program takes without any request: its text, the runtime and its tables.
@@ -27,6 +27,11 @@
 	// connMemory is what the connection of a client takes, in bytes: two buffers of net/http, the stack of its
 	// goroutine, and a request with a short head and body.
 	connMemory = 18 << 10
+	// hostConnMemoryShare is for the connections to hosts.
+	hostConnMemoryShare = 0.18
+	// hostConnMemory is what a connection to a host takes, in bytes: its buffer, and the stacks of its attempt and of
+	// the goroutines that serve it.
+	hostConnMemory = 14 << 10
 )
 
 // usableMemory returns how many bytes of the memory limit are divided.
@@ -44,6 +49,16 @@
 	return min(byDescriptors, int(connMemoryShare*usableMemory(cfg)/connMemory))
 }
 
+// maxHostConns returns how many connections to hosts there may be: a share of the descriptors, and of the memory if there
+// is a limit.
+func maxHostConns(cfg *config.Config) int {
+	byDescriptors := cfg.Sockets * maxHostConnPercent / 100
+	if cfg.MemoryMB == 0 {
+		return byDescriptors
+	}
+	return min(byDescriptors, int(hostConnMemoryShare*usableMemory(cfg)/hostConnMemory))
+}
+
 // memoryBudget limits how many bytes all requests together may hold for one purpose.
 type memoryBudget struct {
 	remaining atomic.Int64
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -14,15 +14,18 @@
 	"bramblelock/internal/gateway/gatewaytest"
 )
 
-// The connections of clients have their shares of the descriptors and of the memory, and always the third of the
-// descriptors that clients use for their requests.
-func TestMaxClientConns(t *testing.T) {
-	for _, c := range []struct{ memoryMB, sockets, want int }{
-		{0, 1024, 614}, {192, 1024, 614}, {64, 1024, 614}, {64, 384, 230}, {32, 256, 153}, {32, 1024, 368},
+// The connections of clients and to hosts have their shares of the descriptors and of the memory, and the former always the
+// third of the descriptors that clients use for their requests. By the descriptors alone, 600 peers that read long answers
+// slowly took a gateway of 32 MB to 31.9 MB.
+func TestMaxConns(t *testing.T) {
+	for _, c := range []struct{ memoryMB, sockets, want, wantToHosts int }{
+		{0, 1024, 614, 358}, {192, 1024, 614, 358}, {64, 1024, 614, 358}, {64, 384, 230, 134}, {32, 256, 153, 89}, {32, 1024, 368, 236},
 	} {
-		got := maxClientConns(&config.Config{MemoryMB: c.memoryMB, Sockets: c.sockets})
-		if got != c.want {
-			t.Errorf("%d MB and %d descriptors: %d connections, want %d", c.memoryMB, c.sockets, got, c.want)
+		cfg := &config.Config{MemoryMB: c.memoryMB, Sockets: c.sockets}
+		got := maxClientConns(cfg)
+		if got != c.want || maxHostConns(cfg) != c.wantToHosts {
+			t.Errorf("%d MB and %d descriptors: %d connections and %d to hosts, want %d and %d",
+				c.memoryMB, c.sockets, got, maxHostConns(cfg), c.want, c.wantToHosts)
 		}
 		if got < c.sockets/3 {
 			t.Errorf("%d MB and %d descriptors: %d connections, fewer than a third", c.memoryMB, c.sockets, got)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -87,8 +87,8 @@
 	p := &Pool{
 		dialer:      net.Dialer{Timeout: cfg.DialTimeout},
 		maxIdleTime: time.Duration(idleLimitShare * float64(cfg.ConnIdle)),
-		maxConns:    cfg.Sockets * maxHostConnPercent / 100,
-		connBudget:  cfg.Sockets * maxHostConnPercent / 100,
+		maxConns:    maxHostConns(cfg),
+		connBudget:  maxHostConns(cfg),
 		idle:        map[*host][]*conn{},
 		memory:      newBufferBudget(cfg),
 		audit:       &Audit{},
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -22,7 +22,7 @@
 	// limit, no connection is accepted until a slot is free. While all slots are taken, a connection is
 	// evicted every evictionInterval, if one can be.
 	maxClientConnPercent = 60
-	maxHostConnPercent   = 35 // hard limit on the connections to hosts
+	maxHostConnPercent   = 35 // hard limit on the connections to hosts, unless memory limits them further
 
 	// clientConnBudgetShare is the share of the limit on client connections, in percent, above which
 	// connections are still accepted, but each change of the state of a connection, except its end,
--- a/internal/gateway/slow_host_test.go
+++ b/internal/gateway/slow_host_test.go
@@ -3,12 +3,13 @@
 import (
 	"bufio"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"bramblelock/internal/gateway/config"
 )
 
 // A host writes a long answer slowly, with a pause of 6 s within it. The client must get the whole answer: it was
@@ -80,60 +81,85 @@
 	}
 }
 
-// A stream whose host pauses keeps its connections only while nobody else needs them: with all connections to hosts, or
-// of clients, in use, a pause of minEndedPause ends it, and its client can tell that the answer is incomplete.
-func TestPausedStreamMakesRoom(t *testing.T) {
-	for name, limits := range map[string]struct{ sockets, memoryMB, streams int }{
-		"for a connection to a host": {sockets: 5, streams: 1},
-		"for a client":               {sockets: 1024, memoryMB: 1, streams: 10},
-	} {
-		t.Run(name, func(t *testing.T) {
-			ended := make(chan struct{})
-			defer close(ended)
-			host := newHost(t, func(c net.Conn, r *http.Request, n int) bool {
-				if r.Header.Get(requestIDHeader) == "next" {
-					return answerWith(okAnswer)(c, r, n)
-				}
-				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nfirst")
-				<-ended
-				return false
-			})
-			cfg := testConfig(host)
-			cfg.Sockets, cfg.MemoryMB = limits.sockets, limits.memoryMB
-			g := startGateway(t, cfg)
-			broken := make(chan error, limits.streams)
-			for i := range limits.streams {
-				c := g.openConn(head("POST /api/1 HTTP/1.1", fmt.Sprint("paused-", i), "Content-Length: 0\r\n"))
-				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-				if err != nil || resp.StatusCode != http.StatusOK {
-					t.Fatalf("%v, %v", resp, err)
-				}
-				go func() {
-					_, err := io.Copy(io.Discard, resp.Body)
-					broken <- err
-				}()
-			}
-			streams := &g.loop.pool.streams
-			if streams.endPaused() {
-				t.Error("a stream ends after a short pause")
-			}
-			streams.mu.Lock()
-			for st := range streams.streams {
-				until(t, "the stream waits for its host", func() bool { return st.paused() > 0 })
-				st.mu.Lock()
-				st.waitingSince = st.waitingSince.Add(-minEndedPause)
-				st.mu.Unlock()
-			}
-			streams.mu.Unlock()
-			until(t, "a request is served beside the streams", func() bool {
-				c := g.openConn(head("GET /api/1 HTTP/1.1", "next", ""))
-				defer c.Close()
-				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-				return err == nil && resp.StatusCode == http.StatusOK
-			})
-			if err := <-broken; !errors.Is(err, io.ErrUnexpectedEOF) {
-				t.Errorf("the stream that was ended ends with %v", err)
-			}
-		})
+// startPausedStream starts a gateway with one answer that is streamed, whose host has paused for minEndedPause. The channel
+// gets the error with which the client's answer ends.
+func startPausedStream(t *testing.T, cfg func(host *testHost) *config.Config) (g *testGateway, end <-chan error) {
+	t.Helper()
+	over := make(chan struct{})
+	t.Cleanup(func() { close(over) })
+	host := newHost(t, func(c net.Conn, r *http.Request, n int) bool {
+		if r.Header.Get(requestIDHeader) == "next" {
+			return answerWith(okAnswer)(c, r, n)
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nfirst")
+		<-over
+		return false
+	})
+	g = startGateway(t, cfg(host))
+	resp, err := http.ReadResponse(bufio.NewReader(g.openConn(head("POST /api/1 HTTP/1.1", "paused", "Content-Length: 0\r\n"))), nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	result := make(chan error, 1)
+	go func() {
+		_, err := io.Copy(io.Discard, resp.Body)
+		result <- err
+	}()
+	streams := &g.loop.pool.streams
+	if streams.endPaused() {
+		t.Error("a stream ends after a short pause")
+	}
+	streams.mu.Lock()
+	defer streams.mu.Unlock()
+	for st := range streams.streams {
+		until(t, "the stream waits for its host", func() bool { return st.paused() > 0 })
+		st.mu.Lock()
+		st.waitingSince = st.waitingSince.Add(-minEndedPause)
+		st.mu.Unlock()
+	}
+	return g, result
+}
+
+// wantIncomplete checks that the client can tell that its answer has been ended.
+func wantIncomplete(t *testing.T, end <-chan error) {
+	t.Helper()
+	select {
+	case err := <-end:
+		if !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("the answer ends with %v", err)
+		}
+	case <-time.After(waitTimeout):
+		t.Error("the answer does not end")
+	}
+}
+
+// A stream whose host pauses keeps its connection to the host only while nobody else needs that. Before pauses of more than
+// minEndedPause were allowed, each ended its stream.
+func TestPausedStreamGivesUpConnectionToHost(t *testing.T) {
+	g, end := startPausedStream(t, func(host *testHost) *config.Config {
+		cfg := testConfig(host)
+		cfg.Sockets = 5 // allows one connection to hosts
+		return cfg
+	})
+	until(t, "a request is served beside the stream", func() bool {
+		c := g.openConn(head("GET /api/1 HTTP/1.1", "next", ""))
+		defer c.Close()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		return err == nil && resp.StatusCode == http.StatusOK
+	})
+	wantIncomplete(t, end)
+}
+
+// A stream whose host pauses keeps its client connected only while no other client waits for a slot.
+func TestPausedStreamGivesUpSlot(t *testing.T) {
+	g, end := startPausedStream(t, func(host *testHost) *config.Config { return testConfig(host) })
+	for len(g.server.connSlots) < cap(g.server.connSlots) {
+		g.server.connSlots <- struct{}{} // taken by requests that are being served
+	}
+	waiting := &clientListener{backlog: &backlog{}, server: g.server, done: make(chan struct{})}
+	time.AfterFunc(waitTimeout, func() { close(waiting.done) })
+	if err := waiting.acquireSlot(); err != nil {
+		t.Errorf("the next client gets no slot: %v", err)
 	}
+	wantIncomplete(t, end)
 }
