Play slow answers beside misbehaving peers, and an id across an upgrade with real processes

Change: each play of peers has five clients whose hosts write 80,000 bytes in chunks with pauses of 0.7 s; none may be cut off, and beside a dozen floods all must come whole. TestUpgradeKeepsIDsOfSentRequests sends an id to the old process and, from a new connection, to the new one; TestUpgradeUnderLoad shares its set-up.

--- a/cmd/gateway/peers_test.go
+++ b/cmd/gateway/peers_test.go
@@ -25,6 +25,11 @@
 	soundRate     = 60 // requests a second of the clients that the gateway is judged by
 	longAnswer    = 1 << 20
 	hostDelay     = 40 * time.Millisecond
+	fewPeers      = 100 // fewer leave room for every sound client
+	slowAnswers   = 5
+	slowPieces    = 4 // of the answer that a host writes slowly
+	slowPiece     = 20_000
+	slowPause     = 700 * time.Millisecond
 	peersLength   = 3 * time.Second // how long misbehaving peers play
 	soundLength   = 4 * time.Second // how long sound clients send; the peers play within that time
 	memorySamples = 10 * time.Millisecond
@@ -61,6 +66,14 @@
 				w.Write(make([]byte, longAnswer))
 				return
 			}
+			if r.URL.Path == "/slow" {
+				for range slowPieces {
+					w.Write(make([]byte, slowPiece))
+					w.(http.Flusher).Flush()
+					time.Sleep(slowPause)
+				}
+				return
+			}
 			io.WriteString(w, "done")
 		}))
 		t.Cleanup(host.Close)
@@ -151,8 +164,16 @@
 	memory := watchMemory(p.Process.Pid)
 	wait := startPeers(t, addr, kind, peers, peersLength)
 	clients := &soundClients{addr: addr, timeout: timeout}
+	slow := startSlowAnswers(addr, timeout)
 	sound := clients.run(soundRate, soundLength)
 	counts := wait()
+	whole, cutOff := slow()
+	if len(cutOff) > 0 {
+		t.Errorf("long answers that their hosts were writing were cut off: %v", cutOff)
+	}
+	if peers < fewPeers && whole < slowAnswers {
+		t.Errorf("%d of %d long answers came whole", whole, slowAnswers)
+	}
 	peak := memory.peakMB()
 	t.Logf("%d peers %q, %d MB, %d descriptors: peak %.1f MB; sound clients: %v; peers: %+v", peers, kind, memoryMB, sockets, peak, sound, counts)
 	select {
@@ -173,6 +194,46 @@
 	}
 }
 
+// startSlowAnswers sends requests whose hosts write long answers slowly. The returned function waits for their ends and
+// returns how many came whole, and the errors of those that began and did not.
+func startSlowAnswers(addr string, timeout time.Duration) (wait func() (whole int64, cutOff []error)) {
+	var requests sync.WaitGroup
+	var whole atomic.Int64
+	cutOff := make(chan error, slowAnswers)
+	for i := range slowAnswers {
+		requests.Go(func() {
+			time.Sleep(time.Duration(i) * peersLength / 2 / slowAnswers)
+			r, _ := http.NewRequest(http.MethodPost, "http://"+addr+"/slow", http.NoBody)
+			r.Header.Set("X-Request-ID", fmt.Sprint("slow-", i))
+			r.Header.Set("X-Priority-Class", "book")
+			r.Header.Set("X-Timeout", fmt.Sprint(timeout.Seconds()))
+			resp, err := (&http.Client{Transport: &http.Transport{}, Timeout: waitTimeout}).Do(r)
+			if err != nil {
+				cutOff <- err
+				return
+			}
+			defer resp.Body.Close()
+			n, err := io.Copy(io.Discard, resp.Body)
+			switch {
+			case resp.StatusCode != http.StatusOK:
+			case n == slowPieces*slowPiece:
+				whole.Add(1)
+			default:
+				cutOff <- fmt.Errorf("%d bytes of %d, %w", n, slowPieces*slowPiece, err)
+			}
+		})
+	}
+	return func() (int64, []error) {
+		requests.Wait()
+		close(cutOff)
+		var errs []error
+		for err := range cutOff {
+			errs = append(errs, err)
+		}
+		return whole.Load(), errs
+	}
+}
+
 // Peers send heads of thousands of short fields that never end. net/http made a map of each, of many times its
 // length: 300 peers took a gateway of 32 MB to 213 MB (review/7: sixty, 66 MB of 64), and its clients got their
 // answers late or never.
--- a/cmd/gateway/upgrade_test.go
+++ b/cmd/gateway/upgrade_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -24,6 +25,79 @@
 		"GW_LISTEN=127.0.0.1:1", "GW_OPERATOR="+operator, "GW_ACCEPT_FD=3", "TMPDIR="+tmp)
 }
 
+// startSharedSocket returns a listening socket for the processes of an upgrade, and its URL.
+func startSharedSocket(t *testing.T) (socket *os.File, url string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", freeAddr(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	if socket, err = ln.(*net.TCPListener).File(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { socket.Close() })
+	return socket, "http://" + ln.Addr().String()
+}
+
+// waitHealthy waits until the program says that it is ready on its operator address.
+func (p *program) waitHealthy(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(waitTimeout); p.callOperator("GET", "/healthcheck") != 200; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the program did not become ready: %s", p.output.String())
+		}
+	}
+}
+
+// A client leaves while the old process waits for the answer to its request, and sends it again with the same id to the new
+// process of an upgrade. A request that may run once only does not reach a host again.
+func TestUpgradeKeepsIDsOfSentRequests(t *testing.T) {
+	var requests atomic.Int64
+	release := make(chan struct{})
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Request-ID") == "held" {
+			requests.Add(1)
+			<-release
+		}
+		io.WriteString(w, "done")
+	}))
+	defer host.Close()
+	defer close(release)
+	socket, url := startSharedSocket(t)
+	config, tmp := configJSON(strings.TrimPrefix(host.URL, "http://")), t.TempDir()
+	old := startOnSocket(t, config, socket, tmp)
+	old.waitHealthy(t)
+	request := "POST /api/1 HTTP/1.1\r\nHost: x\r\nX-Request-ID: held\r\nX-Priority-Class: book\r\nContent-Length: 0\r\n\r\n"
+	send := func() net.Conn {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(waitTimeout))
+		io.WriteString(conn, request)
+		return conn
+	}
+	leaving := send()
+	for end := time.Now().Add(waitTimeout); requests.Load() == 0 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	leaving.Close()
+	next := startOnSocket(t, config, socket, tmp)
+	next.waitHealthy(t)
+	old.Process.Kill()
+	<-old.exited
+	again := send()
+	defer again.Close()
+	resp, err := http.ReadResponse(bufio.NewReader(again), nil)
+	if err != nil || resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("the request that came again is answered %v, %v, want 502", resp, err)
+	}
+	if n := requests.Load(); n != 1 {
+		t.Errorf("the host got %d requests, want 1", n)
+	}
+}
+
 // A new process starts beside an old one on the same socket, and the old one stops. No request may be
 // lost, neither on kept connections nor on new ones. A host in maintenance must stay in maintenance.
 func TestUpgradeUnderLoad(t *testing.T) {
@@ -39,37 +113,19 @@
 		}))
 		defer hosts[i].Close()
 	}
-	ln, err := net.Listen("tcp", freeAddr(t))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	socket, err := ln.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer socket.Close()
+	socket, url := startSharedSocket(t)
 	discovery := newFakeDiscovery(t)
 	text := strings.Replace(configJSON(strings.TrimPrefix(hosts[0].URL, "http://"), strings.TrimPrefix(hosts[1].URL, "http://")),
 		"127.0.0.1:1", discovery.addr(), 1)
 	tmp := t.TempDir()
-	waitHealthy := func(p *program) {
-		t.Helper()
-		for end := time.Now().Add(waitTimeout); p.callOperator("GET", "/healthcheck") != 200; time.Sleep(5 * time.Millisecond) {
-			if time.Now().After(end) {
-				t.Fatalf("the program did not become ready: %s", p.output.String())
-			}
-		}
-	}
 	old := startOnSocket(t, text, socket, tmp)
 	<-discovery.watched
 	discovery.lines <- `{"version":2,"full":false,"servers":[]}`
-	waitHealthy(old)
+	old.waitHealthy(t)
 	if status := old.callOperator("PUT", "/hosts/s-1/maint"); status != 200 {
 		t.Fatalf("status %d", status)
 	}
 	before := maintenanceHostRequests.Load()
-	url := "http://" + ln.Addr().String()
 	var served atomic.Int64
 	done := make(chan struct{})
 	var clients sync.WaitGroup
@@ -109,7 +165,7 @@
 	serveMore()
 	next := startOnSocket(t, text, socket, tmp)
 	serveMore()
-	waitHealthy(next) // without a list from discovery it waits for a while and then uses the configured list
+	next.waitHealthy(t) // without a list from discovery it waits for a while and then uses the configured list
 	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
