--- a/internal/gateway/requestids/requestids_test.go
+++ b/internal/gateway/requestids/requestids_test.go
@@ -10,6 +10,26 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// holdAtOnce holds an id in four calls at the same time, half of them through each table, and returns how many of them
+// hold it. More than one end the test.
+func holdAtOnce(t *testing.T, tables [2]*Table, id string, now time.Time) int {
+	t.Helper()
+	var holders atomic.Int64
+	var calls sync.WaitGroup
+	for i := range 4 {
+		calls.Go(func() {
+			if tables[i%2].Hold(id, now) {
+				holders.Add(1)
+			}
+		})
+	}
+	calls.Wait()
+	if holders.Load() > 1 {
+		t.Fatalf("%d calls hold the id %s", holders.Load(), id)
+	}
+	return int(holders.Load())
+}
+
 // Of many calls with one id at the same time, through two tables over one file as two processes have them, one at
 // most holds it.
 func TestOneOfManyHolds(t *testing.T) {
@@ -24,20 +44,7 @@
 	now := time.Now()
 	held := 0
 	for round := range 2000 {
-		var holders atomic.Int64
-		var calls sync.WaitGroup
-		for i := range 4 {
-			calls.Go(func() {
-				if tables[i%2].Hold(fmt.Sprint("id-", round), now) {
-					holders.Add(1)
-				}
-			})
-		}
-		calls.Wait()
-		if holders.Load() > 1 {
-			t.Fatalf("round %d: %d calls hold the same id", round, holders.Load())
-		}
-		held += int(holders.Load())
+		held += holdAtOnce(t, tables, fmt.Sprint("id-", round), now)
 	}
 	if held < 1000 {
 		t.Errorf("%d of 2000 ids were held", held)
@@ -64,20 +71,7 @@
 				for i := range bucket {
 					bucket[i] = newEntry(fill(id, i))
 				}
-				var holders atomic.Int64
-				var calls sync.WaitGroup
-				for range 4 {
-					calls.Go(func() {
-						if table.Hold(id, now) {
-							holders.Add(1)
-						}
-					})
-				}
-				calls.Wait()
-				if holders.Load() > 1 {
-					t.Fatalf("round %d: %d calls hold the same id", round, holders.Load())
-				}
-				held += int(holders.Load())
+				held += holdAtOnce(t, [2]*Table{table, table}, id, now)
 			}
 			if held < 2500 {
 				t.Errorf("%d of 5000 ids were held", held)
