End a request whose host begins an answer within the body, and send on after informational ones

Long requests whose host began an answer and never ended it hung for good with their connections; after about 90 the gateway refused everything. 103 Early Hints within the body did the same to requests of sound hosts.

Cause: the upload stopped at the first byte from the host and the answer was read without a deadline, as an upload has none before its last byte is sent. After an informational response it waited for one that the host sends for the whole body.

Why the fix holds: one response head is read when the host has sent something.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -50,25 +50,59 @@
 // readAnswerHead reads the head of an answer. It skips informational responses, which precede the
 // answer.
 func (c *conn) readAnswerHead(method string) (*http.Response, error) {
+	if early := c.earlyHead; early != nil {
+		return early.response, early.err
+	}
 	c.limited.startHead()
 	for {
-		badFraming := c.http10TransferEncoding()
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		switch {
-		case err != nil && c.limited.exceeded:
-			return nil, errBadAnswer // the head is too long
-		case err != nil:
-			return nil, err
-		case resp.ProtoMajor != 1 || badFraming:
-			return nil, errBadAnswer // its body is not framed as its head says
-		}
-		if resp.StatusCode >= 200 {
-			c.limited.endHead()
-			return resp, nil
+		if resp, err := c.readResponseHead(method); err != nil || !isInformational(resp) {
+			return resp, err
 		}
 	}
 }
 
+// readResponseHead reads the head of a response, informational or final.
+func (c *conn) readResponseHead(method string) (*http.Response, error) {
+	badFraming := c.http10TransferEncoding()
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	switch {
+	case err != nil && c.limited.exceeded:
+		return nil, errBadAnswer // the head is too long
+	case err != nil:
+		return nil, err
+	case resp.ProtoMajor != 1 || badFraming:
+		return nil, errBadAnswer // its body is not framed as its head says
+	}
+	if !isInformational(resp) {
+		c.limited.endHead()
+	}
+	return resp, nil
+}
+
+// isInformational returns whether another response to the same request follows.
+func isInformational(resp *http.Response) bool { return resp.StatusCode < http.StatusOK }
+
+// earlyHead is the head of a final answer that a host began before it had the whole request, or the error of reading it.
+type earlyHead struct {
+	response *http.Response
+	err      error
+}
+
+// answersEarly is called when a host has sent something, or has closed the connection, before it has the whole request. It
+// returns false if that was an informational response, after which the request goes on. Otherwise it stores the head of
+// the answer for readAnswer. The whole answer must come within hostStallTimeout, as the request has no deadline yet.
+func (c *conn) answersEarly(method string) bool {
+	c.SetReadDeadline(time.Now().Add(hostStallTimeout))
+	c.limited.startHead()
+	resp, err := c.readResponseHead(method)
+	if err == nil && isInformational(resp) {
+		c.SetReadDeadline(time.Time{})
+		return false
+	}
+	c.earlyHead = &earlyHead{resp, err} // the connection carries no other request
+	return true
+}
+
 // skipAnswerBody reads the body of an answer of which only the head is used, so that the connection can
 // carry the next request.
 func (c *conn) skipAnswerBody(resp *http.Response) error {
@@ -135,7 +169,7 @@
 			return nil, false, errBadAnswer // longer than announced
 		case err == io.EOF:
 			return body, true, nil
-		case errors.Is(err, os.ErrDeadlineExceeded):
+		case st.length < 0 && len(body) > 0 && errors.Is(err, os.ErrDeadlineExceeded):
 			return body, false, nil
 		case err != nil:
 			return nil, false, err
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -78,6 +78,7 @@
 	reused     bool          // it has been idle in the Pool before
 	limited    *answerReader // limits the head of an answer
 	reader     *bufio.Reader
+	earlyHead  *earlyHead // of an answer that began before the request was written whole; nil if none has
 	idleSince  time.Time
 	acquiredAt time.Time // when the present attempt got the connection
 }
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -43,7 +43,7 @@
 	buf := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buf)
 	for {
-		if !c.quiet() {
+		if !c.quiet() && c.answersEarly(x.method) {
 			return true, nil
 		}
 		n, last, err := x.upload.next(buf[:])
