Log and count why requests are refused or fail and why attempts and streams end

Debug lines had neither the reason nor whether an answer had begun.

Refuse, Fail and Cancel actions carry a Reason. The log has a line with the id, reason, class, host, age and bytes of the answer for each request that is refused or fails, each attempt that is given up although its answer had begun, and each answer that is passed on in part (at most one line of a kind each 100 ms; the next one says how many were held back). The operators' call GET /endings counts them all.

--- a/api.go
+++ b/api.go
@@ -240,4 +240,5 @@
 	RetryAfter time.Duration
 	Token      uint64
 	Text       string
+	Why        Reason // of Cancel, Refuse and Fail
 }
--- a/balancer.go
+++ b/balancer.go
@@ -136,7 +136,7 @@
 		return
 	}
 	r.streaming = true
-	b.cancelAttempts(r, n)
+	b.cancelAttempts(r, n, AnsweredByOther)
 	// The host has answered; the rest of the time depends on the client.
 	a := r.attempts[n]
 	a.host.servedSentAt = max(a.host.servedSentAt, a.sent)
@@ -148,7 +148,7 @@
 func (b *Balancer) ClientGone(now Time, id RequestID) {
 	b.now = now
 	if r := b.requests[id]; r != nil && !r.done {
-		b.finish(r)
+		b.finish(r, ClientLeft)
 	}
 }
 
--- a/internal/gateway/answer_head.go
+++ b/internal/gateway/answer_head.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"math"
+	"sync/atomic"
 )
 
 // maxHeadLines is how many lines the head of an answer may have. net/http makes an entry of a map of each.
@@ -17,11 +18,14 @@
 	lines     int   // lines of the head that have been read
 	lineBytes int   // bytes of the present line, without line ends
 	exceeded  bool  // a head is longer than the limits
+
+	received atomic.Int64 // bytes read since the present request was written
 }
 
 // startHead makes the limits apply to what is read next.
 func (r *answerReader) startHead() {
-	*r = answerReader{conn: r.conn, remaining: maxHeadBytes, inHead: true}
+	r.remaining, r.inHead, r.exceeded = maxHeadBytes, true, false
+	r.lines, r.lineBytes = 0, 0
 }
 
 // endHead lifts the limits.
@@ -36,6 +40,7 @@
 	p = p[:min(int64(len(p)), r.remaining)]
 	n, err := r.conn.Read(p)
 	r.remaining -= int64(n)
+	r.received.Add(int64(n))
 	r.countLines(p[:n])
 	if r.exceeded {
 		return 0, io.EOF
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -20,6 +20,7 @@
 // attempt is one sending of a request to a host. The loop creates it, and runAttempt carries it out in
 // its own goroutine.
 type attempt struct {
+	hostID            string
 	cancel            context.CancelCauseFunc
 	onUploadComplete  func() // reports to the loop that the host has the whole of a streamed body
 	onResponseStarted func() // reports to the loop that the answer is being streamed to the client
@@ -35,11 +36,12 @@
 	conn      *conn
 	writtenAt time.Time
 
-	mu        sync.Mutex         // guards aborted and streaming
-	ended     bool               // owned by the loop
-	result    bramblelock.Result // set with ended; owned by the loop
-	aborted   bool
-	streaming bool // the answer is being streamed to the client, so the attempt cannot be canceled any more
+	mu          sync.Mutex         // guards aborted and streaming
+	ended       bool               // owned by the loop
+	canceledFor bramblelock.Reason // why it was canceled, if it was; owned by the loop
+	result      bramblelock.Result // set with ended; owned by the loop
+	aborted     bool
+	streaming   bool // the answer is being streamed to the client, so the attempt cannot be canceled any more
 }
 
 // answerArrived returns whether part of the answer has arrived, read or not.
@@ -47,6 +49,21 @@
 	return att.written.Load() && att.conn.answerArrived(att.writtenAt)
 }
 
+// answerBytes returns how many bytes of an answer have been read.
+func (att *attempt) answerBytes() int64 {
+	if !att.written.Load() {
+		return 0
+	}
+	return att.conn.limited.received.Load()
+}
+
+// streamStarted returns whether the answer is or was streamed to the client.
+func (att *attempt) streamStarted() bool {
+	att.mu.Lock()
+	defer att.mu.Unlock()
+	return att.streaming
+}
+
 // abort cancels the attempt unless its answer is being streamed to the client. The cause is
 // context.DeadlineExceeded or context.Canceled; the result of the attempt depends on it.
 func (att *attempt) abort(cause error) {
@@ -230,6 +247,7 @@
 		return c.writeFailure(ctx, x, att, err), answer{}
 	}
 	wrote := time.Now()
+	c.limited.received.Store(0)
 	att.conn, att.writtenAt = c, wrote
 	att.written.Store(true)
 	if x.upload != nil && !early {
@@ -333,6 +351,9 @@
 	}
 	err := <-a.stream.done
 	c.SetReadDeadline(time.Time{})
+	if err != nil {
+		p.endings.streamCutShort(x, att, a.stream, err)
+	}
 	switch {
 	case err == nil:
 		return bramblelock.OK, keep && !a.stream.hasSurplus()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -47,6 +47,12 @@
 // requestID returns the id that the client gave.
 func (x *exchange) requestID() string { return x.header.Get(requestIDHeader) }
 
+// className returns the name that the settings give to the class.
+func (x *exchange) className() string { return x.rules.Settings.Classes[x.class].Name }
+
+// age returns how much of the client's time has passed.
+func (x *exchange) age() time.Duration { return time.Since(x.receivedAt()) }
+
 // receivedAt returns the time from which the client's timeout runs: when the last byte of the request
 // arrived or, if that has not, the last time at which the request was known to be incomplete. All
 // that depends on the time of a request is counted from here: the time stated to a host, the deadline,
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -17,17 +17,25 @@
 	suppressed int       // lines suppressed since lastAt
 }
 
-// warn logs a line unless the last line was written less than logInterval ago. Under the key held_back,
-// the line states how many were suppressed before it.
+// warn logs a line unless the last line was written less than logInterval ago.
 func (l *rateLimitedLog) warn(msg string, args ...any) {
+	if suppressed, ok := l.admit(); ok {
+		slog.Warn(msg, append(args, suppressedKey, suppressed)...)
+	}
+}
+
+// suppressedKey is the key under which a line states how many were suppressed before it.
+const suppressedKey = "held_back"
+
+// admit returns whether a line may be written now, and how many were suppressed before it.
+func (l *rateLimitedLog) admit() (suppressed int, ok bool) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if time.Since(l.lastAt) < logInterval {
 		l.suppressed++
-		l.mu.Unlock()
-		return
+		return 0, false
 	}
-	suppressed := l.suppressed
+	suppressed = l.suppressed
 	l.lastAt, l.suppressed = time.Now(), 0
-	l.mu.Unlock()
-	slog.Warn(msg, append(args, "held_back", suppressed)...)
+	return suppressed, true
 }
--- a/internal/gateway/loop_actions.go
+++ b/internal/gateway/loop_actions.go
@@ -19,12 +19,13 @@
 			l.startAttempt(a)
 		case bramblelock.Cancel:
 			if x := l.openRequests[a.Request]; x != nil && a.Attempt < len(x.attempts) {
+				x.attempts[a.Attempt].canceledFor = a.Why
 				x.attempts[a.Attempt].abort(context.Canceled)
 			}
 		case bramblelock.Refuse:
-			l.finishRequest(a.Request, answer{kind: answerRefused, retryAfter: a.RetryAfter})
+			l.finishRequest(a, answer{kind: answerRefused, retryAfter: a.RetryAfter})
 		case bramblelock.Fail:
-			l.finishRequest(a.Request, answer{kind: answerFailed})
+			l.finishRequest(a, answer{kind: answerFailed})
 		case bramblelock.Wake:
 			heap.Push(&l.timers, balancerTimer{a.At, a.Token})
 		case bramblelock.Close:
@@ -59,7 +60,7 @@
 		panic("gateway: attempt of an unknown request or host")
 	}
 	ctx, cancel := context.WithCancelCause(l.ctx)
-	att := &attempt{cancel: cancel, chargedFrom: time.Now()}
+	att := &attempt{hostID: h.id, cancel: cancel, chargedFrom: time.Now()}
 	if a.WriteBy > 0 {
 		att.writeBy = l.clock.timeOf(a.WriteBy)
 	}
@@ -107,6 +108,7 @@
 	att.ended = true
 	att.result = result
 	slog.Debug("attempt ended", "id", x.requestID(), "attempt", n, "result", result.String())
+	l.pool.endings.attemptEnded(x, att)
 	if result == bramblelock.OK {
 		x.finish(good)
 	}
@@ -125,9 +127,11 @@
 }
 
 // finishRequest gives a request the final answer that the Balancer decided on.
-func (l *Loop) finishRequest(id bramblelock.RequestID, a answer) {
-	if x := l.openRequests[id]; x != nil {
-		slog.Debug("request ended by the module", "id", x.requestID(), "refused", a.kind == answerRefused, "attempts", len(x.attempts))
+func (l *Loop) finishRequest(action *bramblelock.Action, a answer) {
+	if x := l.openRequests[action.Request]; x != nil {
+		if !x.finished.Load() {
+			l.pool.endings.requestEnded(x, a.kind == answerRefused, action.Why, x.attempts)
+		}
 		x.finish(a)
 		l.releaseIfDone(x)
 	}
--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -22,6 +22,7 @@
 	pathMembership  = "/members"
 	pathAudit       = "/audit"
 	pathLoop        = "/loop"
+	pathEndings     = "/endings"
 	pathHosts       = "/hosts/" // followed by ID/maint or ID/ready
 
 	actionMaintenance = "maint" // puts a host into maintenance
@@ -128,6 +129,8 @@
 		o.serveGet(w, r, o.serveAudit)
 	case pathLoop:
 		o.serveGet(w, r, o.serveLoop)
+	case pathEndings:
+		o.serveGet(w, r, o.serveEndings)
 	case pathMembership:
 		o.serveGet(w, r, o.serveMembers)
 	default:
@@ -177,6 +180,11 @@
 	writeJSON(w, o.loop.Status())
 }
 
+// serveEndings answers with the counters of requests, attempts and streams that ended without a whole answer.
+func (o *Operator) serveEndings(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, o.loop.pool.endings.Counters())
+}
+
 // serveMembers answers with the membership view.
 func (o *Operator) serveMembers(w http.ResponseWriter, r *http.Request) {
 	if o.Members == nil {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -37,6 +37,7 @@
 	audit        *Audit
 	sentIDs      *requestids.Table
 	repeatLog    rateLimitedLog
+	endings      endings
 	streams      openStreams  // the answers that are being streamed
 	drainGrace   atomic.Int64 // a time.Duration: an attempt that is sent to a host after it has been unusable for longer counts as a violation in the audit
 	updateSource UpdateSource // source of changes of the list of hosts; may be nil
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"bramblelock"
 	"bramblelock/internal/gateway/config"
 	"bramblelock/internal/listener"
 )
@@ -239,6 +240,7 @@
 // the client does not wait for it any longer.
 func (s *Server) answerAtDeadline(x *exchange) answer {
 	if x.claimAnswer() {
+		s.loop.pool.endings.requestEnded(x, false, bramblelock.DeadlineNear, nil)
 		s.loop.Abandon(x)
 		return answer{kind: answerFailed}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"os"
@@ -42,6 +43,32 @@
 	st.prefix, st.releasePrefix = nil, nil
 }
 
+// Causes for which a stream is cut short.
+const (
+	causeClientGone  = "client gone or stalled"
+	causeEnded       = "ended to make room"
+	causeHostPaused  = "host paused for too long"
+	causeHostBroke   = "host broke the connection"
+	causeHostInvalid = "invalid answer"
+)
+
+// endCause returns the cause of an error that cut the stream short.
+func (st *stream) endCause(err error) string {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	switch {
+	case errors.Is(err, errClientGone):
+		return causeClientGone
+	case st.ended:
+		return causeEnded
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return causeHostPaused
+	case isConnError(err):
+		return causeHostBroke
+	}
+	return causeHostInvalid
+}
+
 // hasSurplus returns whether the host has sent more than the answer, whose end has been read.
 func (st *stream) hasSurplus() bool {
 	return st.conn.reader.Buffered() > 0 || st.chunks != nil && st.chunks.surplus
--- a/queue.go
+++ b/queue.go
@@ -121,7 +121,7 @@
 	for _, q := range b.queues {
 		for n := q.head; n != nil && b.now >= n.item.expires; n = q.head {
 			b.log(logRequestRefused, "refusing: hosts are full, %d requests wait", b.queued)
-			b.answerUnserved(n.item)
+			b.answerUnserved(n.item, QueueTimeout)
 		}
 	}
 }
--- a/request.go
+++ b/request.go
@@ -119,22 +119,23 @@
 }
 
 // cancelAttempts cancels the attempts in flight of the request, but for attempt number except.
-func (b *Balancer) cancelAttempts(r *request, except int) {
+func (b *Balancer) cancelAttempts(r *request, except int, why Reason) {
 	for i, a := range r.attempts {
 		if i != except && !a.ended && b.settings.CancelAllowed {
-			b.emit(Action{Kind: Cancel, Request: r.ID, Attempt: i})
+			b.emit(Action{Kind: Cancel, Request: r.ID, Attempt: i, Why: why})
 		}
 	}
 }
 
-// finish closes a request that has its answer or needs none.
-func (b *Balancer) finish(r *request) {
+// finish closes a request that has its answer or needs none, and cancels its attempts in flight for the
+// reason why.
+func (b *Balancer) finish(r *request, why Reason) {
 	if r.done {
 		return
 	}
 	r.done = true
 	b.dequeue(r)
-	b.cancelAttempts(r, -1)
+	b.cancelAttempts(r, -1, why)
 	b.release(r)
 }
 
--- a/retry.go
+++ b/retry.go
@@ -12,12 +12,12 @@
 	case r.done:
 		b.release(r)
 	case answered || a.result == OK && r.streaming:
-		b.finish(r)
+		b.finish(r, AnsweredByOther)
 	case r.inFlight > 0 || r.queued:
 	case b.mayRetry(r):
 		b.dispatch(r, true)
 	default:
-		b.answerUnserved(r)
+		b.answerUnserved(r, NoFurtherTry)
 	}
 }
 
@@ -69,15 +69,15 @@
 
 // answerUnserved gives the final answer to a request that will not be served: a refusal only where
 // another request of the client is known to be harmless.
-func (b *Balancer) answerUnserved(r *request) {
+func (b *Balancer) answerUnserved(r *request, why Reason) {
 	r.unserved = true
 	harmless := r.class.Effect == Idempotent ||
 		r.class.Effect == Deduplicated && r.class.DedupScope == DedupAll
 	if r.firstMayHaveRun() == nil || harmless && !r.rejected() {
-		b.emit(Action{Kind: Refuse, Request: r.ID,
+		b.emit(Action{Kind: Refuse, Request: r.ID, Why: why,
 			RetryAfter: min(b.shortestTarget/4, b.settings.MaxRetryAfter)})
 	} else {
-		b.emit(Action{Kind: Fail, Request: r.ID})
+		b.emit(Action{Kind: Fail, Request: r.ID, Why: why})
 	}
-	b.finish(r)
+	b.finish(r, why)
 }
--- a/silence.go
+++ b/silence.go
@@ -54,11 +54,11 @@
 		switch age := b.now - a.sent; {
 		case r.done || r.streaming || !b.settings.CancelAllowed:
 		case age >= r.class.LatencyTarget:
-			b.answerUnserved(r)
+			b.answerUnserved(r, AttemptLost)
 		case r.class.Effect == Idempotent && !r.attemptLost && b.overdue(a) &&
 			age >= b.silenceTimeout(r) && b.mayRetry(r):
 			r.attemptLost = true
-			b.cancelAttempts(r, -1)
+			b.cancelAttempts(r, -1, AttemptLost)
 		}
 	}
 }
--- a/timer.go
+++ b/timer.go
@@ -38,7 +38,7 @@
 		}
 	case tokenDeadline:
 		if r := b.requests[RequestID(token&(1<<tokenShift-1))]; r != nil && !r.done && !r.streaming {
-			b.answerUnserved(r)
+			b.answerUnserved(r, DeadlineNear)
 		}
 	}
 }
@@ -55,7 +55,7 @@
 	b.wake(max(b.now, r.deadline-answerIntervals*b.settings.EventInterval),
 		tokenDeadline<<tokenShift|uint64(r.ID))
 	if b.now+answerIntervals*b.settings.EventInterval >= r.deadline {
-		b.answerUnserved(r)
+		b.answerUnserved(r, DeadlineNear)
 	}
 }
 
