Do not take an attempt for lost whose host has begun to answer

What callers saw: a long answer whose body came after the latency target was cut off there.

Cause: cancelLost gives up an attempt at the latency target, or sends an idempotent request elsewhere at half of it, if its host has answered a later attempt meanwhile. It knew an answer only from the start of its streaming, which is the first byte of its body (or 100 ms later). A host that had sent the head and was still making the body looked as if it had lost the request.

Why this holds: the sign of progress is every byte read of the answer. The loop reports it (AnswerProgress) before each timer, the only place where attempts are taken for lost. An attempt whose answer has begun is not lost; its deadline ends it. One exception: the short answer to an idempotent request, of which nothing has come for a whole latency target, is asked of another host as before, since it is passed on only once it is whole.

TestAttemptWithBegunAnswerIsNotLost covers each effect; FuzzRules plays progress.

--- a/balancer.go
+++ b/balancer.go
@@ -144,6 +144,20 @@
 	b.readmit(a.host)
 }
 
+// AnswerProgress reports that more of the answer to attempt n has arrived, which is not being streamed yet.
+// streamable says that it will be, as soon as its body begins: it is too long to be kept, or its length is
+// unknown.
+func (b *Balancer) AnswerProgress(now Time, id RequestID, n int, streamable bool) {
+	b.now = now
+	r := b.requests[id]
+	if r == nil || r.done || r.streaming || n < 0 || n >= len(r.attempts) || r.attempts[n].ended {
+		return
+	}
+	a := r.attempts[n]
+	a.answer = attemptAnswer{begun: true, streamable: streamable, progressAt: now}
+	b.readmit(a.host)
+}
+
 // ClientGone reports that the client no longer waits for the request.
 func (b *Balancer) ClientGone(now Time, id RequestID) {
 	b.now = now
--- a/fuzz_test.go
+++ b/fuzz_test.go
@@ -133,6 +133,8 @@
 			h.dropClient(arg)
 		case kind == 8 && h.classes != nil && data[0]/10%4 == 0:
 			h.changeSettings(int64(arg))
+		case kind == 9 && data[0]/10%2 == 1:
+			h.progressAnswer(arg)
 		default:
 			h.advance(Time(arg) * ms / 4)
 		}
@@ -210,6 +212,20 @@
 	}
 }
 
+// progressAnswer reports that more of an answer has arrived, if the attempt chosen by arg is in flight.
+func (h *history) progressAnswer(arg int) {
+	if len(h.openRequests) == 0 {
+		return
+	}
+	id := h.openRequests[arg%len(h.openRequests)]
+	for n, a := range h.requests[id].attempts {
+		if !a.ended {
+			h.b.AnswerProgress(h.now, id, n, arg&1 == 0)
+			h.carryOutActions()
+		}
+	}
+}
+
 func (h *history) reportOutcome(id RequestID, number int, result Result) {
 	r := h.requests[id]
 	a := &r.attempts[number]
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -37,6 +37,7 @@
 	}
 	a = answer{kind: answerServed, header: resp.Header}
 	if resp.StatusCode == http.StatusOK {
+		c.limited.progress.streamable.Store(resp.ContentLength < 0 || resp.ContentLength > maxBufferedBytes)
 		err = c.readAnswerBody(resp, &a, memory)
 	} else {
 		err = c.skipAnswerBody(resp)
--- a/internal/gateway/answer_head.go
+++ b/internal/gateway/answer_head.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"math"
-	"sync/atomic"
 )
 
 // maxHeadLines is how many lines the head of an answer may have. net/http makes an entry of a map of each.
@@ -19,7 +18,7 @@
 	lineBytes int   // bytes of the present line, without line ends
 	exceeded  bool  // a head is longer than the limits
 
-	received atomic.Int64 // bytes read since the present request was written
+	progress *answerProgress // of the present attempt; nil before the first one
 }
 
 // startHead makes the limits apply to what is read next.
@@ -40,7 +39,9 @@
 	p = p[:min(int64(len(p)), r.remaining)]
 	n, err := r.conn.Read(p)
 	r.remaining -= int64(n)
-	r.received.Add(int64(n))
+	if r.progress != nil {
+		r.progress.bytes.Add(int64(n))
+	}
 	r.countLines(p[:n])
 	if r.exceeded {
 		return 0, io.EOF
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -20,6 +20,7 @@
 // attempt is one sending of a request to a host. The loop creates it, and runAttempt carries it out in
 // its own goroutine.
 type attempt struct {
+	number            int // of the attempts of its request, from 0
 	hostID            string
 	cancel            context.CancelCauseFunc
 	onUploadComplete  func() // reports to the loop that the host has the whole of a streamed body
@@ -32,6 +33,9 @@
 
 	clientUnconfirmed bool // the client may have left, and the request must not be sent; set before the attempt ends
 
+	answer   answerProgress
+	reported answerState // the progress that the Balancer knows of; owned by the loop
+
 	written   atomic.Bool // the request was written whole, and conn and writtenAt are set
 	conn      *conn
 	writtenAt time.Time
@@ -49,14 +53,6 @@
 	return att.written.Load() && att.conn.answerArrived(att.writtenAt)
 }
 
-// answerBytes returns how many bytes of an answer have been read.
-func (att *attempt) answerBytes() int64 {
-	if !att.written.Load() {
-		return 0
-	}
-	return att.conn.limited.received.Load()
-}
-
 // streamStarted returns whether the answer is or was streamed to the client.
 func (att *attempt) streamStarted() bool {
 	att.mu.Lock()
@@ -240,6 +236,7 @@
 		c.SetWriteDeadline(att.writeBy)
 		defer c.SetWriteDeadline(time.Time{}) // runs before the deferred put above
 	}
+	c.limited.progress = &att.answer
 	head, stated := x.encodeHead()
 	p.audit.checkSent(c.host, x, time.Now(), stated, time.Duration(p.drainGrace.Load()))
 	early, err := c.writeRequest(x, head)
@@ -247,7 +244,6 @@
 		return c.writeFailure(ctx, x, att, err), answer{}
 	}
 	wrote := time.Now()
-	c.limited.received.Store(0)
 	att.conn, att.writtenAt = c, wrote
 	att.written.Store(true)
 	if x.upload != nil && !early {
--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -63,7 +63,7 @@
 		suppressedKey, suppressed}
 	if n := len(attempts); n > 0 {
 		last := attempts[n-1]
-		args = append(args, "host", last.hostID, "answer_bytes", last.answerBytes())
+		args = append(args, "host", last.hostID, "answer_bytes", last.answer.bytes.Load())
 		if last.ended {
 			args = append(args, "result", last.result.String())
 		}
@@ -81,13 +81,13 @@
 		why = bramblelock.DeadlineNear
 	}
 	e.count(&e.counters.GivenUp, why.String())
-	if att.answerBytes() == 0 || att.streamStarted() {
+	if att.answer.bytes.Load() == 0 || att.streamStarted() {
 		return
 	}
 	e.count(&e.counters.GivenUpAnswered, why.String())
 	if why != bramblelock.ClientLeft && why != bramblelock.AnsweredByOther {
 		e.attemptLog.warn("attempt given up while its host answered", "id", x.requestID(), "why", why.String(),
-			"class", x.className(), "host", att.hostID, "after", time.Since(att.chargedFrom), "answer_bytes", att.answerBytes())
+			"class", x.className(), "host", att.hostID, "after", time.Since(att.chargedFrom), "answer_bytes", att.answer.bytes.Load())
 	}
 }
 
@@ -96,5 +96,5 @@
 	cause := st.endCause(err)
 	e.count(&e.counters.CutShort, cause)
 	e.streamLog.warn("answer cut short", "id", x.requestID(), "why", cause, "class", x.className(), "host", att.hostID,
-		"after", time.Since(att.chargedFrom), "answer_bytes", att.answerBytes(), "length", st.length, "err", err)
+		"after", time.Since(att.chargedFrom), "answer_bytes", att.answer.bytes.Load(), "length", st.length, "err", err)
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -43,6 +43,7 @@
 	requestWatch  func() // requests a watch from discovery.Client; does not block
 	hosts         map[bramblelock.HostID]*host
 	openRequests  map[bramblelock.RequestID]*exchange // requests without an answer or with an attempt in flight
+	inFlight      map[*attempt]bramblelock.RequestID  // attempts that have not ended, with their requests
 	lastID        bramblelock.RequestID               // of the request submitted last
 	zones         *nameTable                          // names of zones
 	kinds         *nameTable                          // names of kinds of hosts
@@ -73,6 +74,7 @@
 		requestWatch:  requestWatch,
 		hosts:         map[bramblelock.HostID]*host{},
 		openRequests:  map[bramblelock.RequestID]*exchange{},
+		inFlight:      map[*attempt]bramblelock.RequestID{},
 		zones:         newNameTable(cfg.Zones),
 		kinds:         newNameTable(cfg.Kinds),
 		formerHosts:   recentIDs{limit: maxFormerHosts},
--- a/internal/gateway/loop_actions.go
+++ b/internal/gateway/loop_actions.go
@@ -60,15 +60,16 @@
 		panic("gateway: attempt of an unknown request or host")
 	}
 	ctx, cancel := context.WithCancelCause(l.ctx)
-	att := &attempt{hostID: h.id, cancel: cancel, chargedFrom: time.Now()}
+	n := len(x.attempts)
+	att := &attempt{number: n, hostID: h.id, cancel: cancel, chargedFrom: time.Now()}
 	if a.WriteBy > 0 {
 		att.writeBy = l.clock.timeOf(a.WriteBy)
 	}
-	n := len(x.attempts)
 	l.Audit.checkAttempt(x, att.chargedFrom)
 	slog.Debug("attempt begins", "id", x.requestID(), "attempt", n, "host", h.id)
 	x.attempts = append(x.attempts, att)
 	x.inFlight++
+	l.inFlight[att] = x.id
 	timeOut := func() { att.abort(context.DeadlineExceeded) }
 	var timer *time.Timer
 	if x.upload == nil { // the time of an upload runs from its last byte
@@ -106,6 +107,7 @@
 	x.inFlight--
 	att := x.attempts[n]
 	att.ended = true
+	delete(l.inFlight, att)
 	att.result = result
 	slog.Debug("attempt ended", "id", x.requestID(), "attempt", n, "result", result.String())
 	l.pool.endings.attemptEnded(x, att)
@@ -129,6 +131,8 @@
 // finishRequest gives a request the final answer that the Balancer decided on.
 func (l *Loop) finishRequest(action *bramblelock.Action, a answer) {
 	if x := l.openRequests[action.Request]; x != nil {
+		slog.Debug("request ended by the module", "id", x.requestID(), "why", action.Why.String(),
+			"refused", a.kind == answerRefused, "attempts", len(x.attempts))
 		if !x.finished.Load() {
 			l.pool.endings.requestEnded(x, a.kind == answerRefused, action.Why, x.attempts)
 		}
--- a/internal/gateway/loop_timers.go
+++ b/internal/gateway/loop_timers.go
@@ -15,6 +15,9 @@
 	if l.deferTimers(now) {
 		return
 	}
+	if len(l.timers) > 0 && l.timers[0].at <= now {
+		l.reportAnswerProgress(now)
+	}
 	for n := len(l.timers); n > 0 && len(l.timers) > 0 && l.timers[0].at <= now; n-- {
 		w := heap.Pop(&l.timers).(balancerTimer)
 		began := l.clock.now()
--- a/request.go
+++ b/request.go
@@ -41,6 +41,7 @@
 	alone   bool          // this instance had no other pending attempt at the host
 	pending bool          // the attempt is in the host's pendingList
 	node    node[attempt] // node in the host's pendingList
+	answer  attemptAnswer
 }
 
 func (b *Balancer) newRequest() *request {
--- a/silence.go
+++ b/silence.go
@@ -42,23 +42,39 @@
 	}
 }
 
-// cancelLost cancels attempts that a host has lost: later ones were answered, and they are older than
-// the latency target, after which an answer has no value. Each occupies one of the few connections that
-// the host accepts. An idempotent request goes elsewhere while there is time, as soon as its attempt
-// is overdue and should have been answered; only once, as a request that is slow on any host gains
+// attemptAnswer is what has arrived of the answer to an attempt.
+type attemptAnswer struct {
+	begun      bool // some of it has arrived: the host has not lost the attempt
+	streamable bool // it will be streamed once its body begins
+	progressAt Time // time at which more of it arrived last
+}
+
+// cancelLost cancels attempts that a host has lost: later ones were answered, nothing has arrived of the
+// answers to these, and they are older than the latency target, after which an answer has no value. Each
+// occupies one of the few connections that the host accepts. An idempotent request goes elsewhere while
+// there is time, as soon as its attempt seems lost; only once, as a request that is slow on any host gains
 // nothing from a restart.
 func (b *Balancer) cancelLost(h *host) {
 	for n := h.pendingList.head; n != nil && n.item.sent < h.servedSentAt; {
 		a, r := n.item, n.item.request
 		n = n.next
-		switch age := b.now - a.sent; {
+		switch {
 		case r.done || r.streaming || !b.settings.CancelAllowed:
-		case age >= r.class.LatencyTarget:
+		case !a.answer.begun && b.now-a.sent >= r.class.LatencyTarget:
 			b.answerUnserved(r, AttemptLost)
-		case r.class.Effect == Idempotent && !r.attemptLost && b.overdue(a) &&
-			age >= b.silenceTimeout(r) && b.mayRetry(r):
+		case r.class.Effect == Idempotent && !r.attemptLost && b.seemsLost(a) && b.mayRetry(r):
 			r.attemptLost = true
 			b.cancelAttempts(r, -1, AttemptLost)
 		}
 	}
 }
+
+// seemsLost reports whether an attempt, at a host that has answered later ones, should have been answered by
+// now. One whose answer has begun is given a latency target for each further part of it, unless the answer is
+// streamable: its host may take any time for its body, and a repeat would begin from its start.
+func (b *Balancer) seemsLost(a *attempt) bool {
+	if a.answer.begun {
+		return !a.answer.streamable && b.now-a.answer.progressAt >= a.request.class.LatencyTarget
+	}
+	return b.overdue(a) && b.now-a.sent >= b.silenceTimeout(a.request)
+}
--- a/silence_test.go
+++ b/silence_test.go
@@ -105,6 +105,49 @@
 	}
 }
 
+// An attempt whose host has begun to answer is not lost, however many later ones the host answers meanwhile: long
+// answers were cut off at the latency target while their hosts were writing them. Only the short answer to an
+// idempotent request is awaited for no longer than a latency target at a time.
+func TestAttemptWithBegunAnswerIsNotLost(t *testing.T) {
+	took := func(HostID) time.Duration { return 10 * ms }
+	for _, tt := range []struct {
+		class      int
+		streamable bool
+		stopsAfter Time // since the attempt was sent; 0: more of the answer arrives all the time
+		want       []ActionKind
+		wantAt     Time
+	}{
+		{class: 0, streamable: true, stopsAfter: 50 * ms},
+		{class: 0},
+		{class: 0, stopsAfter: 50 * ms, want: []ActionKind{Cancel}, wantAt: 450 * ms},
+		{class: 1, stopsAfter: 50 * ms},
+		{class: 2, stopsAfter: 50 * ms},
+		{class: 2, streamable: true, stopsAfter: 50 * ms},
+	} {
+		set := basicSettings()
+		set.Classes[tt.class].Deadline = 10 * time.Second
+		g := startGateway(t, set, testHosts(1)...)
+		g.serve(30, 0, took)
+		g.serve(30, tt.class, took)
+		slow, began := g.request(tt.class, 10*time.Second), g.now
+		var got []ActionKind
+		gotAt := Time(0)
+		for len(got) == 0 && g.now-began < 2*time.Second {
+			if tt.stopsAfter == 0 || g.now-began <= tt.stopsAfter {
+				g.b.AnswerProgress(g.now, slow, 0, tt.streamable)
+			}
+			id := g.request(1, time.Second)
+			for _, a := range g.advance(10 * ms) {
+				got, gotAt = append(got, a.Kind), g.now-began
+			}
+			g.outcome(id, 0, OK, 10*ms)
+		}
+		if !reflect.DeepEqual(got, tt.want) || gotAt < tt.wantAt || gotAt > tt.wantAt+100*ms {
+			t.Errorf("%+v: actions %v after %v", tt, got, gotAt)
+		}
+	}
+}
+
 // A host that falls silent after it lost an attempt is ejected by means of the next attempt.
 func TestSilenceAfterLostAttemptEjects(t *testing.T) {
 	g := startGateway(t, basicSettings(), testHosts(1)...)
