Pass on the head of a long answer in time although its body has not begun

What callers saw: a long answer whose host wrote the head in time and the body after the client's time was answered with 502 and cut off; with a longer time the client got nothing for as long as the body took.

Cause: the stream of an answer began with the first byte of its body, so that the request could still be sent again until then. Over 64 KiB the first bytes are timed, and what a host has given must not be held back for 2 s.

Why this holds: the head of an answer whose stated length is over 64 KiB is passed on after 1 s, or 10 ms before the module would answer. The module learns of it (HeadForwarded): no other attempt may answer and no deadline ends it, but the attempt stays pending until the body begins, so that a host that sends heads and nothing else is overdue and gets no more. Such a stream ends as every other whose host pauses. An answer of unknown length may be short and then has to be whole in time, so its head alone still ends in 502 or 503.

--- a/balancer.go
+++ b/balancer.go
@@ -9,7 +9,7 @@
 //     slowstart.go (hosts that have just started), maintenance.go.
 //   - When nothing is sent: ratelimit.go (send rate), staleness.go (an outdated host list).
 //   - What becomes of a request that is not sent, or not answered: queue.go, quota.go, retry.go.
-//   - What the end of an attempt says about its host: outcome.go.
+//   - What the beginning and the end of an answer say about its host: answer.go, outcome.go.
 //   - When to call discovery: polling.go.
 //
 // The ordinary path is failure-aware peak EWMA with two choices: of two random ready hosts, the one with
@@ -128,36 +128,6 @@
 	b.scheduleSweep()
 }
 
-// ResponseStarted reports that a response is being streamed from attempt n: no other may answer.
-func (b *Balancer) ResponseStarted(now Time, id RequestID, n int) {
-	b.now = now
-	r := b.requests[id]
-	if r == nil || r.done || n < 0 || n >= len(r.attempts) {
-		return
-	}
-	r.streaming = true
-	b.cancelAttempts(r, n, AnsweredByOther)
-	// The host has answered; the rest of the time depends on the client.
-	a := r.attempts[n]
-	a.host.servedSentAt = max(a.host.servedSentAt, a.sent)
-	b.removePending(a)
-	b.readmit(a.host)
-}
-
-// AnswerProgress reports that more of the answer to attempt n has arrived, which is not being streamed yet.
-// streamable says that it will be, as soon as its body begins: it is too long to be kept, or its length is
-// unknown.
-func (b *Balancer) AnswerProgress(now Time, id RequestID, n int, streamable bool) {
-	b.now = now
-	r := b.requests[id]
-	if r == nil || r.done || r.streaming || n < 0 || n >= len(r.attempts) || r.attempts[n].ended {
-		return
-	}
-	a := r.attempts[n]
-	a.answer = attemptAnswer{begun: true, streamable: streamable, progressAt: now}
-	b.readmit(a.host)
-}
-
 // ClientGone reports that the client no longer waits for the request.
 func (b *Balancer) ClientGone(now Time, id RequestID) {
 	b.now = now
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -24,21 +24,21 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
 }
 
-// readAnswer reads an answer and returns, in keep, whether the connection can carry another request. Of
-// an answer whose status is not 200, only the status and the headers are returned. An answer with
+// readAnswer reads the answer to x and returns, in keep, whether the connection can carry another request.
+// Of an answer whose status is not 200, only the status and the headers are returned. An answer with
 // status 200 is returned as a stream if it is too long to be buffered, if the memory budget has no room
 // for it, or if its length is unknown, part of its body has arrived and it is incomplete streamDelay
 // after its head. Any other answer that cannot be verified to be complete is an error and is not
 // served.
-func (c *conn) readAnswer(method string, memory *memoryBudget) (status int, a answer, keep bool, err error) {
-	resp, err := c.readAnswerHead(method)
+func (c *conn) readAnswer(x *exchange, memory *memoryBudget) (status int, a answer, keep bool, err error) {
+	resp, err := c.readAnswerHead(x.method)
 	if err != nil {
 		return 0, answer{}, false, err
 	}
 	a = answer{kind: answerServed, header: resp.Header}
 	if resp.StatusCode == http.StatusOK {
 		c.limited.progress.streamable.Store(resp.ContentLength < 0 || resp.ContentLength > maxBufferedBytes)
-		err = c.readAnswerBody(resp, &a, memory)
+		err = c.readAnswerBody(resp, &a, x.forwardHeadBy(time.Now()), memory)
 	} else {
 		err = c.skipAnswerBody(resp)
 	}
@@ -119,8 +119,19 @@
 	return nil
 }
 
-// readAnswerBody sets the body or the stream of an answer. If it fails, it sets neither.
-func (c *conn) readAnswerBody(resp *http.Response, a *answer, memory *memoryBudget) error {
+// forwardHeadBy returns when the head of a long answer, which has arrived now, has to be passed on at the latest:
+// the client's time and the time for which a part of an answer may be held back end with it.
+func (x *exchange) forwardHeadBy(now time.Time) time.Time {
+	deadline := x.capDeadline(x.deadline).Add(-x.answerLead - headForwardMargin)
+	if latest := now.Add(maxHeadHold); latest.Before(deadline) {
+		return latest
+	}
+	return deadline
+}
+
+// readAnswerBody sets the body or the stream of an answer. If it fails, it sets neither. If the answer is too long to be
+// buffered, its stream begins at forwardHeadBy at the latest, with or without its body.
+func (c *conn) readAnswerBody(resp *http.Response, a *answer, forwardHeadBy time.Time, memory *memoryBudget) error {
 	st := &stream{conn: c, body: resp.Body, length: resp.ContentLength, done: make(chan error, 1)}
 	if st.length < 0 && len(resp.TransferEncoding) > 0 {
 		st.chunks = newChunkedBody(c.reader)
@@ -130,14 +141,13 @@
 	if st.length >= 0 && st.length < maxBufferedBytes {
 		size, acquire = int(st.length), memory.acquire
 	}
+	if st.length > maxBufferedBytes && c.earlyHead == nil {
+		a.stream = st
+		return c.awaitLongBody(st, forwardHeadBy)
+	}
 	if st.length > maxBufferedBytes || !acquire(size) {
-		// The first byte of the body must have arrived before the stream begins: until then the
-		// request can be retried.
-		if _, err := c.reader.Peek(1); err != nil {
-			return err
-		}
 		a.stream = st
-		return nil
+		return c.awaitBody(st)
 	}
 	body, whole, err := c.bufferAnswerBody(st, size)
 	if err != nil {
@@ -148,7 +158,24 @@
 	if whole {
 		a.body, a.release = body, release
 	} else {
-		st.prefix, st.releasePrefix, a.stream = body, release, st
+		st.prefix, st.releasePrefix, st.bodyBegun, a.stream = body, release, true, st
+	}
+	return nil
+}
+
+// awaitBody waits for the first byte of the body. Until it has arrived, the request can be retried.
+func (c *conn) awaitBody(st *stream) error {
+	_, err := c.reader.Peek(1)
+	st.bodyBegun = err == nil
+	return err
+}
+
+// awaitLongBody waits as awaitBody does, but not beyond a time at which the stream begins without the body.
+func (c *conn) awaitLongBody(st *stream, until time.Time) error {
+	c.SetReadDeadline(until)
+	defer c.SetReadDeadline(time.Time{})
+	if err := c.awaitBody(st); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
 	}
 	return nil
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,6 +24,7 @@
 	hostID            string
 	cancel            context.CancelCauseFunc
 	onUploadComplete  func() // reports to the loop that the host has the whole of a streamed body
+	onHeadForwarded   func() // reports to the loop that the client gets the head of an answer whose body has not begun
 	onResponseStarted func() // reports to the loop that the answer is being streamed to the client
 
 	writeBy time.Time // the request must be written whole by then, or not at all; zero if there is no limit
@@ -78,14 +79,25 @@
 	won := !att.aborted && x.claimAnswer()
 	att.streaming = won
 	att.mu.Unlock()
-	if won {
-		att.chargedTime = time.Since(att.chargedFrom)
+	switch {
+	case won && a.stream.bodyBegun:
+		att.bodyBegins()
+		x.answer <- a
+	case won:
+		a.stream.onBody = att.bodyBegins
+		att.onHeadForwarded()
 		x.answer <- a
-		att.onResponseStarted()
 	}
 	return won
 }
 
+// bodyBegins records that the body of an answer that is streamed has begun: the rest of its time depends on
+// the client.
+func (att *attempt) bodyBegins() {
+	att.chargedTime = time.Since(att.chargedFrom)
+	att.onResponseStarted()
+}
+
 // runAttempt sends a request to a host once and returns the result. The answer is set only if the
 // result is OK and the answer was not streamed to the client. ctx ends when the attempt is to be given
 // up, because of its deadline or a cancellation.
@@ -250,7 +262,7 @@
 		att.chargedFrom = wrote
 		att.onUploadComplete()
 	}
-	status, a, keep, err := c.readAnswer(x.method, p.memory)
+	status, a, keep, err := c.readAnswer(x, p.memory)
 	if err != nil {
 		if ctx.Err() != nil {
 			p.closeIdleIfSilent(c.host, wrote)
--- a/internal/gateway/attempt_test.go
+++ b/internal/gateway/attempt_test.go
@@ -15,7 +15,7 @@
 
 // newAttempt returns an attempt without a loop.
 func newAttempt() *attempt {
-	return &attempt{cancel: func(error) {}, onUploadComplete: func() {}, onResponseStarted: func() {}, chargedFrom: time.Now()}
+	return &attempt{cancel: func(error) {}, onUploadComplete: func() {}, onHeadForwarded: func() {}, onResponseStarted: func() {}, chargedFrom: time.Now()}
 }
 
 func newExchange(body string) *exchange {
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -27,6 +27,11 @@
 	// the part that has arrived is not held back.
 	streamDelay = 100 * time.Millisecond
 
+	// The head of an answer that is too long to be buffered waits for its body for maxHeadHold at most: what a host
+	// has sent must not be held back for 2 s. It is passed on headForwardMargin before the module would answer.
+	maxHeadHold       = time.Second
+	headForwardMargin = 10 * time.Millisecond
+
 	// A stream fails if the host takes nothing of what is written to it for hostStallTimeout, or the client for
 	// clientStallTimeout.
 	hostStallTimeout   = 5 * time.Second
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -26,6 +26,7 @@
 	rules         *config.Rules // rules under which class and tenant were looked up
 	class, tenant int
 	clientRetry   bool                      // the client marked the request as a retry
+	answerLead    time.Duration             // how long before the deadline the module gives its final answer
 	capDeadline   func(time.Time) time.Time // returns the earlier of a deadline and the time by which all answers are due at shutdown
 	clientConn    *framedConn               // connection of the client; nil in tests without one
 	head          *framing.Head             // framing of the request on clientConn
--- /dev/null
+++ b/internal/gateway/late_body_test.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A host writes the head of a long answer in time, and its body after the client's time or after 3 s. The head is passed on
+// by the deadline and within 2 s, and the body when it comes: the request was answered with 502 at its deadline, or got
+// nothing for as long as the host took. Where the head does not say that the answer is long, the client gets a final
+// answer in time.
+func TestHeadOfLongAnswerIsPassedOnInTime(t *testing.T) {
+	const length, finalAnswerSlack = 100_000, 50 * time.Millisecond // each time limit is 50 ms longer on sockets
+	for name, tt := range map[string]struct {
+		framing    string
+		timeout    time.Duration
+		bodyAfter  time.Duration
+		wantWithin time.Duration
+		want       int
+	}{
+		"body after the deadline":   {fmt.Sprintf("Content-Length: %d\r\n", length), time.Second, 1500 * time.Millisecond, time.Second, http.StatusOK},
+		"body long before it":       {fmt.Sprintf("Content-Length: %d\r\n", length), 20 * time.Second, 3 * time.Second, 2 * time.Second, http.StatusOK},
+		"unknown length, no body":   {"Transfer-Encoding: chunked\r\n", time.Second, 1500 * time.Millisecond, time.Second, http.StatusBadGateway},
+		"length of a short answer":  {"Content-Length: 1000\r\n", time.Second, 1500 * time.Millisecond, time.Second, http.StatusBadGateway},
+		"end with the connection":   {"Connection: close\r\n", time.Second, 1500 * time.Millisecond, time.Second, http.StatusBadGateway},
+		"body just before the time": {"Connection: close\r\n", time.Second, 500 * time.Millisecond, time.Second, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			host := newHost(t, func(c net.Conn, _ *http.Request, _ int) bool {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n", tt.framing)
+				time.Sleep(tt.bodyAfter)
+				c.Write(testBytes(length))
+				return false
+			})
+			g := startGateway(t, testConfig(host))
+			request := head("POST /api/1 HTTP/1.1", "i", "Content-Length: 0\r\n")
+			c := g.openConn(strings.Replace(request, "X-Timeout: 30", fmt.Sprintf("X-Timeout: %.3f", tt.timeout.Seconds()), 1))
+			c.SetDeadline(time.Now().Add(tt.wantWithin + finalAnswerSlack))
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil || resp.StatusCode != tt.want {
+				t.Fatalf("answer %v, %v, want %d", resp, err, tt.want)
+			}
+			c.SetDeadline(time.Now().Add(waitTimeout))
+			n, err := io.Copy(io.Discard, resp.Body)
+			if err != nil || tt.want == http.StatusOK && n != length {
+				t.Errorf("%d bytes of %d, %v", n, length, err)
+			}
+		})
+	}
+}
--- a/internal/gateway/loop_actions.go
+++ b/internal/gateway/loop_actions.go
@@ -79,6 +79,9 @@
 		timer = time.AfterFunc(time.Until(x.deadline), timeOut)
 		l.post(func(now bramblelock.Time) { l.balancer.UploadComplete(now, x.id, max(0, l.clock.at(x.deadline)-now)) })
 	}
+	att.onHeadForwarded = func() {
+		l.post(func(now bramblelock.Time) { l.balancer.HeadForwarded(now, x.id, n) })
+	}
 	att.onResponseStarted = func() {
 		l.post(func(now bramblelock.Time) { l.balancer.ResponseStarted(now, x.id, n) })
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -172,5 +172,6 @@
 		return errors.New("Idempotency-Key: missing, the class needs one")
 	}
 	x.rules = rules
+	x.answerLead = rules.Settings.AnswerLead()
 	return nil
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,6 +28,9 @@
 	prefix []byte       // the part that has been read already
 	done   chan error
 
+	bodyBegun bool   // part of the body has arrived
+	onBody    func() // called when it has, unless that was before the stream began
+
 	releasePrefix func() // returns the memory of prefix to the budget; nil if there is none
 
 	mu           sync.Mutex // guards the fields below
@@ -103,6 +106,7 @@
 	for {
 		n, err := st.read(buf)
 		if n > 0 {
+			st.beginBody()
 			if err := write(buf[:n]); err != nil {
 				return err
 			}
@@ -119,6 +123,14 @@
 	}
 }
 
+// beginBody records that part of the body has arrived.
+func (st *stream) beginBody() {
+	if !st.bodyBegun {
+		st.bodyBegun = true
+		st.onBody()
+	}
+}
+
 // read reads from the host. It fails if the host pauses for maxHostPause, or the stream is ended.
 func (st *stream) read(p []byte) (int, error) {
 	if !st.beginWait() {
--- a/retry.go
+++ b/retry.go
@@ -3,8 +3,13 @@
 // Retries: whether a request is sent again after an attempt, where and until when, and which final
 // answer it gets otherwise.
 
+import "time"
+
 const answerIntervals = 2 // EventIntervals before the deadline by which a request is answered
 
+// AnswerLead is how long before its deadline a request that nothing has answered gets its final answer.
+func (s *Settings) AnswerLead() time.Duration { return answerIntervals * s.EventInterval }
+
 // afterAttempt decides what follows the end of an attempt: nothing if the request has its answer,
 // another attempt if class and time allow it, and else the final answer.
 func (b *Balancer) afterAttempt(r *request, a *attempt, answered bool) {
@@ -25,7 +30,7 @@
 // adding to an overload.
 func (b *Balancer) mayRetry(r *request) bool {
 	if r.streaming || r.notReplayable || r.rejected() || len(r.attempts) >= r.maxAttempts ||
-		b.now+2*answerIntervals*b.settings.EventInterval >= r.deadline {
+		b.now+2*b.settings.AnswerLead() >= r.deadline {
 		return false
 	}
 	return b.repeatable(&r.class.Class, r.firstMayHaveRun())
@@ -64,7 +69,7 @@
 	if first == nil || c.Effect != Deduplicated {
 		return 0
 	}
-	return first.sent + c.DedupWindow - answerIntervals*b.settings.EventInterval
+	return first.sent + c.DedupWindow - b.settings.AnswerLead()
 }
 
 // answerUnserved gives the final answer to a request that will not be served: a refusal only where
--- a/silence.go
+++ b/silence.go
@@ -42,13 +42,6 @@
 	}
 }
 
-// attemptAnswer is what has arrived of the answer to an attempt.
-type attemptAnswer struct {
-	begun      bool // some of it has arrived: the host has not lost the attempt
-	streamable bool // it will be streamed once its body begins
-	progressAt Time // time at which more of it arrived last
-}
-
 // cancelLost cancels attempts that a host has lost: later ones were answered, nothing has arrived of the
 // answers to these, and they are older than the latency target, after which an answer has no value. Each
 // occupies one of the few connections that the host accepts. An idempotent request goes elsewhere while
--- a/silence_test.go
+++ b/silence_test.go
@@ -183,3 +183,28 @@
 		t.Errorf("%d pending attempts, %d requests kept after the end of the stream", h.pending, len(g.b.requests))
 	}
 }
+
+// A host that has sent the head of a long answer, and nothing of its body, owes the body: it gets no further requests once
+// that is overdue, and the request gets no other answer at its deadline.
+func TestForwardedHeadKeepsItsHostBusy(t *testing.T) {
+	g := startGateway(t, basicSettings(), testHosts(1)...)
+	g.serve(50, 0, func(HostID) time.Duration { return 10 * ms })
+	id := g.request(2, time.Second)
+	g.b.HeadForwarded(g.now, id, 0)
+	g.collectActions()
+	if actions := g.advance(2 * time.Second); len(actions) != 0 {
+		t.Errorf("actions %v while the body is awaited", actions)
+	}
+	g.request(0, time.Second)
+	if len(g.actions) != 0 {
+		t.Errorf("actions %v with an overdue body", g.actions)
+	}
+	g.b.ResponseStarted(g.now, id, 0)
+	g.collectActions()
+	if h := g.b.byID[1]; h.pending != 0 {
+		t.Errorf("%d pending attempts after the body has begun", h.pending)
+	}
+	if actions := g.advance(50 * ms); len(actions) != 1 || actions[0].Kind != Send {
+		t.Errorf("actions %v, want the request that waits sent", actions)
+	}
+}
--- a/timer.go
+++ b/timer.go
@@ -52,9 +52,9 @@
 // attempt that is still connecting then would come too late to answer on. A request that arrived too
 // late to be sent is answered at once.
 func (b *Balancer) setDeadlineTimer(r *request) {
-	b.wake(max(b.now, r.deadline-answerIntervals*b.settings.EventInterval),
+	b.wake(max(b.now, r.deadline-b.settings.AnswerLead()),
 		tokenDeadline<<tokenShift|uint64(r.ID))
-	if b.now+answerIntervals*b.settings.EventInterval >= r.deadline {
+	if b.now+b.settings.AnswerLead() >= r.deadline {
 		b.answerUnserved(r, DeadlineNear)
 	}
 }
