Let a process that stops pass on long answers to their end

What callers saw: a long answer that its host was still writing slowly ended 3.66 s after SIGTERM (the longest deadline and 0.66 s), as the process ended by itself.

Cause: Shutdown returned at that time whatever was being streamed.

Evidence: TestShutdownWaitsForLongAnswer failed before: 120,000 of 250,000 bytes after 1.16 s with a longest deadline of 0.5 s.

Why this holds: after the last final answers are due, Shutdown waits while an answer is streamed, and then for the ends of those to be written. Streams end by themselves when their hosts pause for 60 s or their clients take nothing for 10 s; a platform with less patience sends SIGKILL, as it does now. Without a stream nothing changes.

Measured: the test passes, with the other tests of shutdown, also under the race detector.

--- a/internal/gateway/late_body_test.go
+++ b/internal/gateway/late_body_test.go
@@ -11,6 +11,44 @@
 	"time"
 )
 
+// A long answer is still being written when all requests without an answer have got one. The process goes on until it is
+// whole: it ended by itself 0.66 s and the longest deadline after SIGTERM, and cut off the answer.
+func TestShutdownWaitsForLongAnswer(t *testing.T) {
+	const pieces, piece, pause = 25, 10_000, 100 * time.Millisecond
+	host := newHost(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", pieces*piece)
+		for range pieces {
+			c.Write(testBytes(piece))
+			time.Sleep(pause)
+		}
+		return true
+	})
+	cfg := testConfig(host)
+	for i := range cfg.Settings.Classes {
+		cfg.Settings.Classes[i].Deadline = 500 * time.Millisecond
+	}
+	g := startGateway(t, cfg)
+	in := bufio.NewReader(g.openConn(head("POST /api/1 HTTP/1.1", "i", "Content-Length: 0\r\n")))
+	if _, err := in.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	ended := g.startShutdown()
+	answered := make(chan int, 1)
+	go func() {
+		_, body := readWholeAnswer(t, "long answer", in)
+		answered <- len(body)
+	}()
+	select {
+	case <-ended:
+		t.Error("the process ends while the answer is being written")
+	case n := <-answered:
+		if n != pieces*piece {
+			t.Errorf("%d bytes of %d", n, pieces*piece)
+		}
+		<-ended
+	}
+}
+
 // A host writes the head of a long answer in time, and its body after the client's time or after 3 s. The head is passed on
 // by the deadline and within 2 s, and the body when it comes: the request was answered with 502 at its deadline, or got
 // nothing for as long as the host took. Where the head does not say that the answer is long, the client gets a final
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"log/slog"
 	"net/http"
 	"time"
 )
@@ -25,7 +26,8 @@
 // process accepts what follows, but keeps the open connections for as long as a request on them can
 // be answered in time (half of the longest deadline), since a request may arrive on a connection just
 // as it is closed. It then closes the listener and idle connections, and waits for the requests that
-// it has accepted, until finalWriteTime after the last answers are due at most.
+// it has accepted, until finalWriteTime after the last answers are due at most. An answer that is being streamed
+// then goes on to its end: a process that ended would cut it off.
 func (s *Server) Shutdown() {
 	now := time.Now()
 	maxDeadline := min(s.loop.rules.Load().LongestDeadline(), maxShutdownDeadline)
@@ -51,10 +53,29 @@
 		(*ln).Close()
 	}
 	s.closeIdleConns()
+	s.awaitRequests(tick, s.finalAnswerAt.Add(finalWriteTime))
+	s.awaitStreams(tick)
+}
+
+// awaitRequests waits until no request is being served, and not beyond a time.
+func (s *Server) awaitRequests(tick *time.Ticker, until time.Time) {
 	// Once Serve has returned, all connections that it accepted are in s.conns.
-	for exitAt := s.finalAnswerAt.Add(finalWriteTime); (s.accepting.Load() || !s.closeUnused()) && time.Now().Before(exitAt); {
+	for (s.accepting.Load() || !s.closeUnused()) && time.Now().Before(until) {
+		<-tick.C
+	}
+}
+
+// awaitStreams waits until no answer is being streamed, and the ends of those that were have been written.
+func (s *Server) awaitStreams(tick *time.Ticker) {
+	streams := &s.loop.pool.streams
+	if streams.count() == 0 {
+		return
+	}
+	slog.Info("long answers are still being written", "answers", streams.count())
+	for streams.count() > 0 {
 		<-tick.C
 	}
+	s.awaitRequests(tick, time.Now().Add(finalWriteTime))
 }
 
 // hasConns returns whether any client is still connected.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -200,6 +200,13 @@
 	delete(o.streams, st)
 }
 
+// count returns how many streams there are.
+func (o *openStreams) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.streams)
+}
+
 // endPaused ends the stream whose host has paused for longest, if that is minEndedPause at least: its connections are
 // needed for others. It returns whether there was one.
 func (o *openStreams) endPaused() bool {
