Count a long answer without its body as timed out at the deadline of its request

Cause: an attempt whose head was passed on stayed pending and overdue until its stream ended, up to 60 s, and an overdue attempt blocks its host.

Why this holds: at the deadline of its request, where it would have timed out, such an attempt is observed as a time-out and is pending no more. The stream goes on; its end is not observed a second time.

--- a/answer.go
+++ b/answer.go
@@ -24,8 +24,8 @@
 }
 
 // HeadForwarded reports that the client has the head of a response from attempt n, whose body has not
-// begun: no other may answer. The attempt stays pending until ResponseStarted or its end, as its host has
-// yet to answer.
+// begun: no other may answer. The attempt stays pending until ResponseStarted, the deadline of the request
+// or its end, as its host has yet to answer.
 func (b *Balancer) HeadForwarded(now Time, id RequestID, n int) {
 	b.now = now
 	r := b.requests[id]
@@ -52,3 +52,17 @@
 	b.removePending(a)
 	b.readmit(a.host)
 }
+
+// expirePendingBody is called at the deadline of a request whose response is being streamed. If its body has
+// not begun, the host has not answered in time. The stream goes on, but it keeps no other request waiting.
+func (b *Balancer) expirePendingBody(r *request) {
+	for _, a := range r.attempts {
+		if !a.pending {
+			continue
+		}
+		b.removePending(a)
+		a.result, a.expired = TimedOut, true
+		b.observe(a, (b.now - a.sent).Seconds())
+	}
+	b.processQueues()
+}
--- a/outcome.go
+++ b/outcome.go
@@ -15,7 +15,9 @@
 	a.host.openAttempts--
 	b.removePending(a)
 	r.notReplayable = r.notReplayable || o.NotReplayable
-	b.observe(a, max(o.Elapsed, 0).Seconds())
+	if !a.expired {
+		b.observe(a, max(o.Elapsed, 0).Seconds())
+	}
 	b.afterAttempt(r, a, o.Answered)
 	b.dropIfRemoved(a.host)
 	b.processQueues()
--- a/request.go
+++ b/request.go
@@ -42,6 +42,7 @@
 	pending bool          // the attempt is in the host's pendingList
 	node    node[attempt] // node in the host's pendingList
 	answer  attemptAnswer
+	expired bool // it has been observed as timed out, before its end
 }
 
 func (b *Balancer) newRequest() *request {
--- a/timer.go
+++ b/timer.go
@@ -37,7 +37,12 @@
 			b.scheduleWatch(b.settings.MaxWatchGap)
 		}
 	case tokenDeadline:
-		if r := b.requests[RequestID(token&(1<<tokenShift-1))]; r != nil && !r.done && !r.streaming {
+		r := b.requests[RequestID(token&(1<<tokenShift-1))]
+		switch {
+		case r == nil || r.done:
+		case r.streaming:
+			b.expirePendingBody(r)
+		default:
 			b.answerUnserved(r, DeadlineNear)
 		}
 	}
