Play late and slow long answers and slow readers in the soak, and judge cut-offs

One request in twenty asks for an answer of 70 to 300 KB in one of the three framings, whose host writes the head at once and the body after 0.55 to 0.75 of the client's time (the latency target is half of it); one in eight of them takes 4.8 s to write. Hosts may read long bodies at 330 kB a second. The judge reports an answer whose connection a gateway ended, times long answers by their first byte, and exempts, counted, what a host, an injected failure or a SIGKILL broke. A process that is killed while it passes on a long answer has not failed to exit.

Six cases added to the test of the judge.

--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -24,13 +24,14 @@
 	requestSlow                            // writes the request in pieces, with pauses between them
 	requestPipelined                       // writes a second request before the answer to the first
 	requestLong                            // sends a long body if the class is not idempotent
+	requestLongAnswer                      // asks for a long answer
 )
 
 // requestKindShares are the shares that the kinds other than requestPlain have of all requests.
 var requestKindShares = []struct {
 	kind  requestKind
 	share float64
-}{{requestAbandoned, 0.05}, {requestAbandonedAndRetried, 0.04}, {requestSlow, 0.03}, {requestPipelined, 0.04}, {requestLong, 0.02}}
+}{{requestAbandoned, 0.05}, {requestAbandonedAndRetried, 0.04}, {requestSlow, 0.03}, {requestPipelined, 0.04}, {requestLong, 0.02}, {requestLongAnswer, 0.05}}
 
 // requestKindAt returns the kind for a random number between 0 and 1.
 func requestKindAt(x float64) requestKind {
@@ -159,7 +160,7 @@
 // newRequest records a request that is about to be sent.
 func (c *clients) newRequest(conn *clientConn, g *gateway, options requestOptions, reused bool, retryOf string) *request {
 	req := &request{id: fmt.Sprintf("q%d-%06d", c.s.opt.Seed, c.nextID.Add(1)), class: options.class, gateway: g.name, generation: conn.generation,
-		newConn: !reused, slowWrite: options.kind == requestSlow, retryOf: retryOf, firstByteAt: time.Now()}
+		newConn: !reused, slowWrite: options.kind == requestSlow, longAnswer: options.isLong(), retryOf: retryOf, firstByteAt: time.Now()}
 	c.s.ledger.addRequest(req)
 	return req
 }
@@ -220,8 +221,14 @@
 func (c *clients) awaitAnswer(conn *clientConn, g *gateway, options requestOptions, req *request, reused bool, err error) bool {
 	status, closing, started := 0, true, false
 	if err == nil {
-		conn.SetReadDeadline(time.Now().Add(options.class.deadline + 5*time.Second))
-		status, closing, started, err = conn.receive(req)
+		patience := options.class.deadline + 5*time.Second
+		if options.isLong() {
+			patience = longAnswerPatience
+		}
+		conn.SetReadDeadline(time.Now().Add(patience))
+		status, closing, started, err = conn.receive(req, func() {
+			c.s.ledger.update(func() { req.answeredAt = time.Now() })
+		})
 	}
 	c.finish(req, status, err)
 	switch {
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -18,14 +18,15 @@
 type hostMode int
 
 const (
-	hostHealthy    hostMode = iota
-	hostHangs               // sends no answer
-	hostResets              // resets the connection before or within the answer to two of three request ids
-	hostFails               // answers 500
-	hostRejects             // answers 503 with X-Not-Processed
-	hostClosesIdle          // closes connections that are idle for 15 ms
-	hostStalls              // reads nothing of a long body for stallTime
-	hostDown                // refuses connections
+	hostHealthy     hostMode = iota
+	hostHangs                // sends no answer
+	hostResets               // resets the connection before or within the answer to two of three request ids
+	hostFails                // answers 500
+	hostRejects              // answers 503 with X-Not-Processed
+	hostClosesIdle           // closes connections that are idle for 15 ms
+	hostStalls               // reads nothing of a long body for stallTime
+	hostReadsSlowly          // reads a long body slowly
+	hostDown                 // refuses connections
 )
 
 const (
@@ -36,6 +37,9 @@
 	hostReadBuffer = 64 << 10
 	// stallTime is how long a host in hostStalls reads nothing of a long body.
 	stallTime = time.Second
+	// slowReadPiece bytes are what a host in hostReadsSlowly reads each slowReadPause.
+	slowReadPiece = 16 << 10
+	slowReadPause = 50 * time.Millisecond
 )
 
 // host is a host of a soak. It answers or misbehaves as its mode says, and records the attempts that it
@@ -135,13 +139,26 @@
 			attempt.stalled = true
 			time.Sleep(stallTime)
 		}
+		if h.currentMode() == hostReadsSlowly {
+			attempt.stalled = true
+			for err == nil {
+				_, err = io.CopyN(io.Discard, r.Body, slowReadPiece)
+				if r.ContentLength > minLongBody {
+					time.Sleep(slowReadPause)
+				}
+			}
+		}
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
 		attempt.receivedAt = time.Now()
 		seconds, _ := strconv.ParseFloat(r.Header.Get("X-Timeout"), 64)
 		attempt.timeout = time.Duration(seconds * float64(time.Second))
-		if !h.answer(c, r.Header.Get("X-Request-ID"), attempt) {
+		id := r.Header.Get("X-Request-ID")
+		if isLongAnswerRequest(r.URL.Path) {
+			attempt.longAnswer = &longAnswer{length: len(longAnswerBody(id))}
+		}
+		if !h.answer(c, id, attempt) {
 			return
 		}
 	}
@@ -170,6 +187,9 @@
 		c.(*net.TCPConn).SetLinger(0)
 		return false
 	}
+	if attempt.longAnswer != nil {
+		return h.writeLongAnswer(c, id, attempt.timeout, attempt.longAnswer)
+	}
 	switch idHash % 8 {
 	case 0:
 		return writeChunkedAnswer(c, "done ", id)
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -57,9 +57,11 @@
 	generation  int       // of the process of the gateway
 	newConn     bool      // the request is the first on its connection
 	slowWrite   bool      // the request was written in pieces
+	longAnswer  bool      // the request asks for a long answer
 	firstByteAt time.Time // just before the first byte is written
 	sentAt      time.Time // when the last byte was written; zero: it was not
 	abandonedAt time.Time // when the client closed its connection without waiting; zero: it waited for the answer
+	answeredAt  time.Time // when the first byte of the answer arrived; zero: none did
 	endedAt     time.Time // when the answer arrived or the connection ended
 	status      int       // HTTP status; 0: no complete answer
 	err         error     // why there is no complete answer
@@ -73,6 +75,7 @@
 	firstByteAt time.Time     // when the first byte was received
 	receivedAt  time.Time     // when the last byte was received
 	timeout     time.Duration // X-Timeout that the gateway sent
+	longAnswer  *longAnswer   // nil: the host gave none
 	rejected    bool          // the host answered X-Not-Processed and did not execute it
 	stalled     bool          // the host read the body late, so the body may have arrived before receivedAt
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -67,6 +67,7 @@
 	floodGateway
 	floodWhileDiscoveryAway
 	stallHost
+	readSlowlyAtHost
 	upgradeGateway
 	upgradeGatewaySecond
 	disruptionKinds // their number
@@ -94,7 +95,7 @@
 		return s.upgradeDisruption(g, kind)
 	}
 	switch kind {
-	case drainHost, drainHostSecond, drainHostThird, hangHost, resetHost, closeIdleAtHost, refuseAtHost, failOrRejectAtHost, stallHost:
+	case drainHost, drainHostSecond, drainHostThird, hangHost, resetHost, closeIdleAtHost, refuseAtHost, failOrRejectAtHost, stallHost, readSlowlyAtHost:
 		return s.drawHostDisruption(h, kind)
 	case cutDiscovery, disturbCatalogs:
 		return s.drawDiscoveryDisruption(kind)
@@ -117,6 +118,8 @@
 		return s.hostDisruption("err or turn away", h, []hostMode{hostFails, hostRejects}[s.planRand.IntN(2)])
 	case stallHost:
 		return s.hostDisruption("stall", h, hostStalls)
+	case readSlowlyAtHost:
+		return s.hostDisruption("read slowly", h, hostReadsSlowly)
 	}
 	return disruption{name: "drain", target: h.name, run: func(d *disruption) { s.drain(h, d) }}
 }
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -12,13 +12,17 @@
 type Exemption string
 
 const (
-	exemptNotSent         Exemption = "requests whose last byte could not be written"
-	exemptResent          Exemption = "requests that crossed the close of a resting connection and were sent again"
-	exemptKilled          Exemption = "requests whose process was killed outright"
-	exemptConnFlood       Exemption = "first requests on connections that were shut unread in a crowd"
-	exemptBadClientAtExit Exemption = "bad clients whose process ended"
-	exemptDisrupted       Exemption = "sends to draining servers beyond the usual time, within that of an outage or a new process"
-	exemptLateStart       Exemption = "starts of servers that were notified too late to be judged"
+	exemptNotSent          Exemption = "requests whose last byte could not be written"
+	exemptResent           Exemption = "requests that crossed the close of a resting connection and were sent again"
+	exemptKilled           Exemption = "requests whose process was killed outright"
+	exemptConnFlood        Exemption = "first requests on connections that were shut unread in a crowd"
+	exemptBadClientAtExit  Exemption = "bad clients whose process ended"
+	exemptDisrupted        Exemption = "sends to draining servers beyond the usual time, within that of an outage or a new process"
+	exemptInjected         Exemption = "long answers cut off at a gateway whose system calls fail"
+	exemptKilledWithin     Exemption = "long answers cut off by the SIGKILL of their gateway"
+	exemptBroken           Exemption = "long answers that a host, a failing system call or a SIGKILL broke on their way"
+	exemptLongAnswerAtKill Exemption = "processes that passed on a long answer until the SIGKILL"
+	exemptLateStart        Exemption = "starts of servers that were notified too late to be judged"
 )
 
 // exempt counts a case that an exemption covers.
@@ -49,6 +53,7 @@
 type Counts struct {
 	Requests, Served, Refused, Failed, Left int
 	BadClients, Runs, Restarts, Troubles    int
+	LongAnswers                             int // begun by hosts
 }
 
 // Violation is a broken rule.
@@ -79,8 +84,8 @@
 // Print writes the report as text.
 func (r *Report) Print(w io.Writer) {
 	c := r.Counts
-	fmt.Fprintf(w, "seed %d: %d requests, %d served, %d refused, %d failed, %d left; %d bad clients, %d runs, %d restarts, %d troubles; %d violations\n",
-		r.Seed, c.Requests, c.Served, c.Refused, c.Failed, c.Left, c.BadClients, c.Runs, c.Restarts, c.Troubles, len(r.Violations))
+	fmt.Fprintf(w, "seed %d: %d requests, %d served, %d refused, %d failed, %d left; %d bad clients, %d runs, %d long answers, %d restarts, %d troubles; %d violations\n",
+		r.Seed, c.Requests, c.Served, c.Refused, c.Failed, c.Left, c.BadClients, c.Runs, c.LongAnswers, c.Restarts, c.Troubles, len(r.Violations))
 	for _, text := range r.Pauses {
 		fmt.Fprintln(w, "   disturbed:", text)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -191,6 +191,27 @@
 		{"no exit in time", "end", func(l *ledger, _ *request) {
 			l.exits = append(l.exits, processExit{gateway: "g00", generation: 1, termAt: at(30), killAt: at(34), endedAt: at(34)})
 		}},
+		{"a long answer cut off by its gateway", "lost", func(_ *ledger, req *request) {
+			req.status, req.longAnswer, req.attempts[0].longAnswer = http.StatusBadGateway, true, &longAnswer{begun: true, endedAt: at(20.2), closedBy: endedByGateway}
+		}},
+		{"a long answer whose first byte came late", "lost", func(_ *ledger, req *request) {
+			req.longAnswer, req.answeredAt = true, at(23)
+		}},
+		{"a long answer that takes longer than its deadline", "", func(_ *ledger, req *request) {
+			req.longAnswer, req.answeredAt, req.endedAt = true, at(20.1), at(25)
+		}},
+		{"a long answer broken by its host", "", func(_ *ledger, req *request) {
+			req.status, req.longAnswer, req.attempts[0].longAnswer = 0, true, &longAnswer{begun: true, endedAt: at(20.2), closedBy: endedByHost}
+		}},
+		{"a long answer cut off by a process that exits", "lost", func(l *ledger, req *request) {
+			req.status, req.longAnswer, req.attempts[0].longAnswer = 0, true, &longAnswer{begun: true, endedAt: at(24), closedBy: endedByGateway}
+			l.exits = append(l.exits, processExit{gateway: "g00", generation: 1, termAt: at(20.05), endedAt: at(23.7)})
+		}},
+		{"a long answer cut off by a SIGKILL", "", func(l *ledger, req *request) {
+			req.status, req.longAnswer, req.attempts[0].longAnswer = 0, true, &longAnswer{begun: true, endedAt: at(24), closedBy: endedByGateway}
+			req.endedAt = at(23.75)
+			l.exits = append(l.exits, processExit{gateway: "g00", generation: 1, termAt: at(20.05), killAt: at(23.75), endedAt: at(23.75)})
+		}},
 		{"a starting host above its budget", "failback", func(l *ledger, _ *request) {
 			l.hostStarts = append(l.hostStarts, hostStart{host: "s-00", ackedAt: at(17)})
 			for range 200 {
