--- a/internal/soak/long_answers.go
+++ b/internal/soak/long_answers.go
@@ -75,6 +75,9 @@
 	time.Sleep(time.Duration((minBodyDelayShare + bodyDelayRange*float64(idHash%100)/100) * float64(timeout)))
 	size := len(body)/longAnswerPieces + 1
 	for written := 0; written < len(body) && err == nil; written += size {
+		if written > 0 {
+			time.Sleep(pause)
+		}
 		piece := body[written:min(written+size, len(body))]
 		text := string(piece)
 		if chunked {
@@ -83,7 +86,6 @@
 		if _, err = io.WriteString(c, text); err == nil {
 			h.s.ledger.update(func() { record.written += len(piece) })
 		}
-		time.Sleep(pause)
 	}
 	if chunked && err == nil {
 		_, err = io.WriteString(c, "0\r\n\r\n")
