--- a/internal/gateway/late_body_test.go
+++ b/internal/gateway/late_body_test.go
@@ -9,6 +9,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"bramblelock"
+	"bramblelock/internal/gateway/hostlist"
 )
 
 // A long answer is still being written when all requests without an answer have got one. The process goes on until it is
@@ -93,3 +96,61 @@
 		})
 	}
 }
+
+// Open answers, in each state, outlast what happens to their host and their class: nothing that is out is given up for a
+// drain, a removal, maintenance or new settings.
+func TestDrainAndRulesKeepOpenStreams(t *testing.T) {
+	const length = 100_000
+	heads := map[string]string{ // by what the client has of the answer when its host or class goes
+		"part of the body": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, testBytes(length)[:1000]),
+		"the head":         fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", length),
+		"nothing":          "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+	}
+	changes := map[string]func(g *testGateway){
+		"drain": func(g *testGateway) {
+			g.loop.HandleList(bramblelock.ListChanges, hostlist.List{Servers: []hostlist.Member{{ID: "s-0", Addr: g.cfg.Known.Servers[0].Addr, State: "draining"}}})
+		},
+		"removal": func(g *testGateway) { g.loop.HandleList(bramblelock.ListFull, hostlist.List{}) },
+		"maintenance": func(g *testGateway) {
+			g.loop.SetMaintenance("s-0", true)
+		},
+		"class dropped": func(g *testGateway) {
+			rules := g.cfg.Rules
+			rules.Classes = map[string]int{"look": 0}
+			rules.Settings.Classes = rules.Settings.Classes[:1]
+			g.loop.UpdateRules(&rules)
+		},
+	}
+	for state, answer := range heads {
+		for change, apply := range changes {
+			t.Run(state+", "+change, func(t *testing.T) {
+				t.Parallel()
+				resume := make(chan struct{})
+				host := newHost(t, func(c net.Conn, _ *http.Request, _ int) bool {
+					io.WriteString(c, answer)
+					<-resume
+					rest := testBytes(length)
+					if state == "part of the body" {
+						rest = rest[1000:]
+					}
+					c.Write(rest)
+					return false
+				})
+				g := startGateway(t, testConfig(host))
+				in := bufio.NewReader(g.openConn(head("POST /api/1 HTTP/1.1", "i", "Content-Length: 0\r\n")))
+				if state == "nothing" {
+					until(t, "the host has the request", func() bool { n, _, _ := host.counts(); return n == 1 })
+				} else if _, err := in.Peek(1); err != nil {
+					t.Fatal(err)
+				}
+				apply(g)
+				g.loop.Sync()
+				time.Sleep(2 * streamDelay) // for what would be given up
+				close(resume)
+				if status, body := readWholeAnswer(t, change, in); status != http.StatusOK || body != string(testBytes(length)) {
+					t.Errorf("answer %d of %d bytes", status, len(body))
+				}
+			})
+		}
+	}
+}
