--- a/answer.go
+++ b/answer.go
@@ -28,29 +28,32 @@
 // or its end, as its host has yet to answer.
 func (b *Balancer) HeadForwarded(now Time, id RequestID, n int) {
 	b.now = now
-	r := b.requests[id]
-	if r == nil || r.done || n < 0 || n >= len(r.attempts) {
-		return
+	if a := b.chooseResponse(id, n); a != nil {
+		b.readmit(a.host)
 	}
-	r.streaming = true
-	b.cancelAttempts(r, n, AnsweredByOther)
-	b.readmit(r.attempts[n].host)
 }
 
 // ResponseStarted reports that a response is being streamed from attempt n: no other may answer.
 func (b *Balancer) ResponseStarted(now Time, id RequestID, n int) {
 	b.now = now
+	if a := b.chooseResponse(id, n); a != nil {
+		// The host has answered; the rest of the time depends on the client.
+		a.host.servedSentAt = max(a.host.servedSentAt, a.sent)
+		b.removePending(a)
+		b.readmit(a.host)
+	}
+}
+
+// chooseResponse makes the response from attempt n the answer to a request, and returns the attempt, or nil
+// if the request needs no answer any more.
+func (b *Balancer) chooseResponse(id RequestID, n int) *attempt {
 	r := b.requests[id]
 	if r == nil || r.done || n < 0 || n >= len(r.attempts) {
-		return
+		return nil
 	}
 	r.streaming = true
 	b.cancelAttempts(r, n, AnsweredByOther)
-	// The host has answered; the rest of the time depends on the client.
-	a := r.attempts[n]
-	a.host.servedSentAt = max(a.host.servedSentAt, a.sent)
-	b.removePending(a)
-	b.readmit(a.host)
+	return r.attempts[n]
 }
 
 // expirePendingBody is called at the deadline of a request whose response is being streamed. If its body has
--- a/cmd/gateway/head_only_test.go
+++ b/cmd/gateway/head_only_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"strings"
 	"sync"
@@ -31,44 +30,20 @@
 	"chunked": {"Transfer-Encoding: chunked\r\n", false},
 }
 
-// startHeadOnlyGateway starts a gateway of the least memory with a few descriptors and four hosts, which answer requests
-// below /head/ with a head alone.
-func startHeadOnlyGateway(t *testing.T) *program {
-	t.Helper()
-	bin, err := builtGateway()
-	if err != nil {
-		t.Fatal(err)
+// answerWithHead answers a request below /head/ with a head alone, and others at once.
+func answerWithHead(w http.ResponseWriter, r *http.Request) {
+	framing, headOnly := strings.CutPrefix(r.URL.Path, "/head/")
+	if !headOnly {
+		io.WriteString(w, "done")
+		return
 	}
-	var addrs []string
-	for range 4 {
-		host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			io.Copy(io.Discard, r.Body)
-			time.Sleep(hostDelay)
-			framing, headOnly := strings.CutPrefix(r.URL.Path, "/head/")
-			if !headOnly {
-				io.WriteString(w, "done")
-				return
-			}
-			conn, _, err := w.(http.Hijacker).Hijack()
-			if err != nil {
-				panic(err)
-			}
-			defer conn.Close()
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\n", headOnlyFramings[framing].header)
-			io.Copy(io.Discard, conn) // until the gateway ends the connection
-		}))
-		t.Cleanup(host.CloseClientConnections)
-		addrs = append(addrs, strings.TrimPrefix(host.URL, "http://"))
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(err)
 	}
-	listen := freeAddr(t)
-	text := strings.Replace(configJSON(addrs...), `"memory_mb":192,"sockets":1024`, `"memory_mb":32,"sockets":256`, 1)
-	p := newProgram(t, text, "http://"+listen, nil, "GW_LISTEN="+listen)
-	p.Cmd.Path, p.Cmd.Args = bin, []string{bin}
-	p.Stdout, p.Stderr = &p.output, &p.output
-	p.startProcess(t)
-	p.waitReady(t)
-	p.sendUntilServed(t, 8)
-	return p
+	defer conn.Close()
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\n", headOnlyFramings[framing].header)
+	io.Copy(io.Discard, conn) // until the gateway ends the connection
 }
 
 // requestHeadOnly sends a request whose answer has no body, and returns an error unless the client gets a final answer, or
@@ -103,7 +78,7 @@
 // Hosts send the heads of answers and nothing else. Each client gets a final answer, or the head of a long answer, in
 // time, and such answers leave room for others: what they hold is given back.
 func TestHeadsWithoutBodyLeaveRoomForOthers(t *testing.T) {
-	p := startHeadOnlyGateway(t)
+	p := startLimitedGateway(t, 32, 256, answerWithHead)
 	atRest := descriptors(p.Process.Pid)
 	memory := watchMemory(p.Process.Pid)
 	var requests sync.WaitGroup
--- a/cmd/gateway/peers_test.go
+++ b/cmd/gateway/peers_test.go
@@ -49,9 +49,25 @@
 	return bins["gateway"], err
 })
 
+// answerPeers answers the requests of misbehaving peers, and of the clients beside them.
+func answerPeers(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/long":
+		w.Write(make([]byte, longAnswer))
+	case "/slow":
+		for range slowPieces {
+			w.Write(make([]byte, slowPiece))
+			w.(http.Flusher).Flush()
+			time.Sleep(slowPause)
+		}
+	default:
+		io.WriteString(w, "done")
+	}
+}
+
 // startLimitedGateway starts a gateway without the race detector, with limits of memory and descriptors
-// and four hosts that answer after hostDelay.
-func startLimitedGateway(t *testing.T, memoryMB, sockets int) *program {
+// and four hosts, whose answers begin after hostDelay.
+func startLimitedGateway(t *testing.T, memoryMB, sockets int, answer http.HandlerFunc) *program {
 	t.Helper()
 	bin, err := builtGateway()
 	if err != nil {
@@ -62,21 +78,10 @@
 		host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			io.Copy(io.Discard, r.Body)
 			time.Sleep(hostDelay)
-			if r.URL.Path == "/long" {
-				w.Write(make([]byte, longAnswer))
-				return
-			}
-			if r.URL.Path == "/slow" {
-				for range slowPieces {
-					w.Write(make([]byte, slowPiece))
-					w.(http.Flusher).Flush()
-					time.Sleep(slowPause)
-				}
-				return
-			}
-			io.WriteString(w, "done")
+			answer(w, r)
 		}))
 		t.Cleanup(host.Close)
+		t.Cleanup(host.CloseClientConnections)
 		addrs = append(addrs, strings.TrimPrefix(host.URL, "http://"))
 	}
 	listen := freeAddr(t)
@@ -159,7 +164,7 @@
 // memory limit and gives each sound client its answer in time.
 func playPeers(t *testing.T, memoryMB, sockets int, kind string, peers int, timeout time.Duration) {
 	t.Helper()
-	p := startLimitedGateway(t, memoryMB, sockets)
+	p := startLimitedGateway(t, memoryMB, sockets, answerPeers)
 	addr := strings.TrimPrefix(p.url, "http://")
 	memory := watchMemory(p.Process.Pid)
 	wait := startPeers(t, addr, kind, peers, peersLength)
