--- a/internal/gateway/late_body_test.go
+++ b/internal/gateway/late_body_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -97,6 +98,36 @@
 	}
 }
 
+// The counters say why a request failed, that its attempt was given up within its answer, and why a stream was cut short.
+func TestEndingsAreCountedByCause(t *testing.T) {
+	host := newHost(t, func(c net.Conn, r *http.Request, _ int) bool {
+		if r.URL.Path == "/broken" {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nfirst")
+			return false
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+		return true
+	})
+	cfg := testConfig(host)
+	cfg.Settings.Classes[cfg.Classes["book"]].Deadline = 200 * time.Millisecond
+	g := startGateway(t, cfg)
+	if resp, _ := g.request("book", "/half", ""); resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("half an answer gives status %d", resp.StatusCode)
+	}
+	in := bufio.NewReader(g.openConn(strings.Replace(head("GET /broken HTTP/1.1", "broken", ""), "book", "look", 1)))
+	if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("the broken answer begins with %v, %v", resp, err)
+	}
+	want := EndingCounters{
+		Failed: map[string]int64{"deadline": 1}, GivenUp: map[string]int64{"deadline": 1},
+		GivenUpAnswered: map[string]int64{"deadline": 1}, CutShort: map[string]int64{causeHostBroke: 1},
+	}
+	until(t, "all endings are counted", func() bool { return reflect.DeepEqual(g.loop.pool.endings.Counters(), want) })
+	if status, _ := callOperator(t, g.startOperator(t.TempDir(), false), operatorRequest("GET", pathEndings)); status != http.StatusOK {
+		t.Errorf("GET %s: status %d", pathEndings, status)
+	}
+}
+
 // Open answers, in each state, outlast what happens to their host and their class: nothing that is out is given up for a
 // drain, a removal, maintenance or new settings.
 func TestDrainAndRulesKeepOpenStreams(t *testing.T) {
