--- a/internal/gateway/late_body_test.go
+++ b/internal/gateway/late_body_test.go
@@ -129,7 +129,7 @@
 }
 
 // Open answers, in each state, outlast what happens to their host and their class: nothing that is out is given up for a
-// drain, a removal, maintenance or new settings.
+// drain, a removal, maintenance, new settings, the loss of discovery or an upgrade.
 func TestDrainAndRulesKeepOpenStreams(t *testing.T) {
 	const length = 100_000
 	heads := map[string]string{ // by what the client has of the answer when its host or class goes
@@ -141,7 +141,9 @@
 		"drain": func(g *testGateway) {
 			g.loop.HandleList(bramblelock.ListChanges, hostlist.List{Servers: []hostlist.Member{{ID: "s-0", Addr: g.cfg.Known.Servers[0].Addr, State: "draining"}}})
 		},
-		"removal": func(g *testGateway) { g.loop.HandleList(bramblelock.ListFull, hostlist.List{}) },
+		"loss of discovery":                  func(g *testGateway) { g.loop.HandleList(bramblelock.ListFailed, hostlist.List{}) },
+		"connections for one process of two": func(g *testGateway) { g.loop.pool.SetOverlap(true) },
+		"removal":                            func(g *testGateway) { g.loop.HandleList(bramblelock.ListFull, hostlist.List{}) },
 		"maintenance": func(g *testGateway) {
 			g.loop.SetMaintenance("s-0", true)
 		},
