Split the connection of a client by subject: reading, arrival and closing

Nothing else changes: client_arrival.go has when requests arrived, client_close.go what closes a connection or finds that the client has.

--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -12,15 +12,13 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"bramblelock/internal/gateway/framing"
 	"bramblelock/internal/gateway/socket"
 )
 
-// This file implements the connection of a client: reading, read deadlines, and closing it without
-// losing a request. Package framing parses the bytes that are read, and arrival.go bounds the time at
-// which they arrived.
+// This file implements the connection of a client: reading, writing and read deadlines. Package framing parses
+// the bytes that are read; client_arrival.go and arrival.go bound the time at which they arrived, and
+// client_close.go closes a connection without losing a request.
 
 // framedListener accepts connections as framedConns.
 type framedListener struct{ net.Listener }
@@ -262,160 +260,6 @@
 	return n, true, nil
 }
 
-// noteNothingUnread records that no bytes were left to read, unless the client's socket may still
-// hold some back. After a whole request it holds none if the client waits for its answer.
-func (c *framedConn) noteNothingUnread(now time.Time) {
-	if c.parser.InHead() && !c.pipelining() || !c.arrivals.senderMayBeBlocked() {
-		c.arrivals.noteEmpty(now)
-	}
-}
-
-// pipelining returns whether more than one request of the client is known that has not been answered.
-func (c *framedConn) pipelining() bool {
-	requests := c.parser.PendingHeads()
-	if c.serving {
-		requests++
-	}
-	return requests > 1 || requests == 1 && c.parser.HasPartialHead()
-}
-
-// boundCompletionTime bounds the arrival time of a request that ends with the byte that was read last.
-func (c *framedConn) boundCompletionTime(now time.Time, fd int) {
-	last := c.parser.LastHead()
-	if last == nil || last.CompleteAt.IsZero() || !c.parser.InHead() || !c.parser.HeadStartedAt().IsZero() {
-		return
-	}
-	last.CompleteAt = c.arrivals.lastByteArrivedAfter(now, fd)
-}
-
-// noteUnreadBody records how many bytes of a body wait to be read.
-func (c *framedConn) noteUnreadBody(now time.Time, fd int) {
-	if unread, ok := socket.UnreadBytes(fd); ok {
-		c.arrivals.noteUnread(now, unread)
-	}
-}
-
-// receivedAt returns the earliest time at which the last byte of the request with head h can have
-// arrived. If the request is still arriving, that is the last time at which it is known to have been
-// incomplete.
-func (c *framedConn) receivedAt(h *framing.Head) time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !h.CompleteAt.IsZero() {
-		return h.CompleteAt
-	}
-	now := time.Now()
-	if c.raw == nil || h != c.parser.LastHead() {
-		return now
-	}
-	at := now // a closed connection receives nothing more
-	c.raw.Control(func(fd uintptr) { at = c.lastKnownIncomplete(now, int(fd)) })
-	return at
-}
-
-// lastKnownIncomplete returns the last time at which the body that is arriving is known to have
-// been incomplete.
-func (c *framedConn) lastKnownIncomplete(now time.Time, fd int) time.Time {
-	unread, ok := socket.UnreadBytes(fd)
-	if !ok {
-		return now
-	}
-	if unread == 0 {
-		c.noteNothingUnread(now)
-	}
-	remaining, ok := c.parser.RemainingBody()
-	if !ok { // how much is missing of a chunked body is unknown
-		return c.arrivals.arrivedAfter(c.arrivals.totalRead + int64(unread))
-	}
-	// The body is incomplete if more is missing than the client's socket can hold, or if bytes are
-	// missing although no full receive window keeps them back.
-	unsent := remaining - int64(unread)
-	if unsent > maxClientSendBuffer || unsent > 0 && unread < minReceiveWindow && !c.arrivals.senderMayBeBlocked() {
-		return now
-	}
-	return c.arrivals.arrivedAfter(c.arrivals.totalRead + remaining)
-}
-
-// closeIfIdle closes a connection on which no request is being served if no byte of the next request
-// has arrived.
-func (c *framedConn) closeIfIdle() bool {
-	return c.closeIf(func() bool {
-		return !c.parser.HasPendingHead() && c.parser.InHead() && !c.parser.HasPartialHead()
-	})
-}
-
-// closeIfNoHead closes a connection on which no request is being served if the head of the next one
-// has not arrived whole.
-func (c *framedConn) closeIfNoHead() bool {
-	return c.closeIf(func() bool { return !c.parser.HasPendingHead() && c.parser.InHead() })
-}
-
-// closeIfBodyIncomplete closes a connection whose request is being read if the request has not
-// arrived whole.
-func (c *framedConn) closeIfBodyIncomplete() bool {
-	return c.closeIf(func() bool { return !c.parser.InHead() })
-}
-
-// closeIf closes the connection if allowed returns true and no bytes wait to be read, and returns
-// whether it did. Nothing more is read after the decision.
-func (c *framedConn) closeIf(allowed func() bool) bool {
-	c.mu.Lock()
-	canClose := !c.closing && allowed() && !c.hasUnread()
-	c.closing = c.closing || canClose
-	c.mu.Unlock()
-	if canClose {
-		c.Close() // not under c.mu, as Close waits for the reader
-	}
-	return canClose
-}
-
-// hasUnread returns whether bytes have arrived that nobody has read. The caller holds c.mu.
-func (c *framedConn) hasUnread() bool {
-	if c.raw == nil {
-		return false
-	}
-	unread := 0
-	c.raw.Control(func(fd uintptr) { // fails only if the connection is closed
-		unread, _ = socket.Peek(int(fd))
-	})
-	return unread > 0
-}
-
-// Close marks the connection as closed. A request may arrive on an idle connection just as it is
-// closed; the mark lets the handler drop that request, so that it is not executed in addition to
-// the copy that the client then sends on another connection.
-func (c *framedConn) Close() error {
-	c.closed.Store(true)
-	err := c.Conn.Close()
-	c.mu.Lock()
-	c.releaseHead()
-	c.releaseAhead()
-	c.mu.Unlock()
-	if c.releaseSlot != nil {
-		c.releaseSlot()
-	}
-	return err
-}
-
-// clientGone returns whether the client has closed its sending side or the connection, or this
-// process has closed the connection. Unread bytes hide that from a reader, but not from poll. Bytes
-// that do not fit in the receive buffer hide it here as well, since the FIN comes after them.
-func (c *framedConn) clientGone() bool {
-	if c.closed.Load() {
-		return true
-	}
-	if c.raw == nil {
-		return false
-	}
-	gone := false
-	err := c.raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := socket.RetryInterrupted(func() (int, error) { return unix.Poll(fds, 0) })
-		gone = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	})
-	return gone || err != nil
-}
-
 // setReadBuffer has the kernel receive up to n bytes ahead of the reader, so that a FIN behind them
 // arrives and clientGone sees it.
 func (c *framedConn) setReadBuffer(n int) {
